--- /dev/null
+++ b/lockspoke/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, logging, signals and the program's phases."""
--- /dev/null
+++ b/lockspoke/lifecycle/config.py
@@ -0,0 +1,110 @@
+"""What the gateway is told at its start: the environment and the file that it names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from hillridge.interface import Settings
+from hillridge.wire import SettingsError, decode_settings
+from lockspoke.memory.registry import RegistryUpdate
+from lockspoke.wire.discovery import ListError, decode_endpoint, read_list
+
+MS = 1_000_000
+OWN_SOCKETS = 64  # descriptors for discovery, listeners, files, logs and what the interpreter needs
+
+
+class ConfigError(ValueError):
+    """A configuration that cannot be started with; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """One gateway's configuration."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: RegistryUpdate | None
+    settings: Settings
+    classes: dict[str, int]  # by name, their place in the settings
+    zones: tuple[str, ...]
+    load_names: tuple[str, ...]
+    connect_timeout: int
+    keepalive: int
+
+    @property
+    def connections(self) -> int:
+        """The connections that each side, clients and workers, may take of the descriptors."""
+        return max(8, (self.sockets - OWN_SOCKETS) // 2)
+
+
+def _dig(raw: Any, path: str, default: Any) -> Any:
+    for step in path.split("."):
+        raw = raw.get(step) if isinstance(raw, dict) else None
+    return default if raw is None else raw
+
+
+def _words(raw: Any, path: str) -> tuple[str, ...]:
+    value = _dig(raw, path, [])
+    if not isinstance(value, list) or not all(isinstance(word, str) for word in value):
+        raise ConfigError(f"{path} is {value!r}, want a list of names")
+    return tuple(value)
+
+
+def _whole(raw: Any, path: str, default: int) -> int:
+    value = _dig(raw, path, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+        raise ConfigError(f"{path} is {value!r}, want a number above 0")
+    return int(value)
+
+
+def _seed(value: Any) -> int:
+    try:
+        return int(value, 16) if isinstance(value, str) else int(value)
+    except (TypeError, ValueError):
+        raise ConfigError(f"seed is {value!r}, want a hexadecimal number") from None
+
+
+def read_config(environment: Mapping[str, str]) -> Config:
+    """Read the file that NODE_CONFIG names; the other variables go before what it says."""
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise ConfigError("NODE_CONFIG is not set")
+    try:
+        raw = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"{path}: want an object")
+    try:
+        return _config(raw, environment)
+    except (SettingsError, ListError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+
+
+def _config(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
+    settings = _dig(raw, "settings", {})
+    names = []
+    for profile in _dig(settings, "profiles", []):
+        names.append(str(profile.get("name", "")) if isinstance(profile, dict) else "")
+    known = raw.get("known")
+    return Config(
+        name=environment.get("NODE_NAME") or str(raw.get("name", "")),
+        listen=decode_endpoint(environment.get("NODE_LISTEN") or str(raw.get("listen", ""))),
+        discovery=decode_endpoint(environment.get("NODE_DISCOVERY") or str(raw.get("discovery", ""))),
+        seed=_seed(raw.get("seed", "0")),
+        sockets=_whole(raw, "limits.sockets", 1024),
+        known=None if known is None else read_list(known),
+        settings=decode_settings(json.dumps(settings).encode()),
+        classes={name: index for index, name in enumerate(names)},
+        zones=_words(settings, "zones"),
+        load_names=_words(settings, "loadInfo.fields"),
+        connect_timeout=_whole(settings, "limits.connectTimeout", 100 * MS),
+        keepalive=_whole(settings, "limits.keepalive", 10_000 * MS),
+    )
--- /dev/null
+++ b/lockspoke/lifecycle/program.py
@@ -0,0 +1,166 @@
+"""The program: one object that goes through named phases from start to exit."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from enum import Enum
+
+import structlog
+
+from lockspoke.memory.core import Core
+from lockspoke.memory.numbers import Numbers
+from lockspoke.memory.registry import Registry
+from lockspoke.wire.clients import ClientFront
+from lockspoke.wire.watch import DiscoveryWatch
+from lockspoke.wire.workers import WorkerConnections
+
+from .config import Config, ConfigError, read_config
+from .logs import start_logging
+
+SWEEP = 1.0
+TOTALS = 10.0  # seconds between two lines of totals
+KEEP_ACCEPTING = 0.7  # seconds after SIGTERM: clients hear late that this gateway stops
+QUIET = 0.3  # seconds without a new connection, or of an idle one, before it is closed
+LONGEST_ACCEPTING = 3.0
+
+log = structlog.get_logger()
+
+
+class Phase(Enum):
+    """Where the program stands between start and exit."""
+
+    STARTING = "starting"  # no worker known yet: not ready to be sent calls
+    READY = "ready"
+    DRAINING = "draining"  # told to stop: answers what it has taken, and what still comes
+    STOPPED = "stopped"
+
+
+class LoopTimers:
+    """The system's clock and the event loop's timers."""
+
+    def __init__(self) -> None:
+        # One time base: steady, yet comparable with the Unix times at which workers started.
+        self._base = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        """Nanoseconds since the Unix epoch, never going back."""
+        return self._base + time.monotonic_ns()
+
+    def later(self, delay: int, callback: Callable[[], None]) -> None:
+        """Call back after so many nanoseconds."""
+        asyncio.get_running_loop().call_later(max(0, delay) / 1e9, callback)
+
+
+class Program:
+    """One gateway."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.phase = Phase.STARTING
+        self.timers = LoopTimers()
+        self.registry = Registry(Numbers(), config.zones)
+        self.workers = WorkerConnections(
+            config.load_names,
+            config.connect_timeout,
+            config.keepalive,
+            config.connections,
+            self.timers.now,
+        )
+        self.watch = DiscoveryWatch(config.discovery)
+        self.core = Core(config.settings, config.seed, self.registry, self.timers, self.workers, self.watch)
+        self.watch.core = self.core
+        self.clients = ClientFront(
+            self.core, config.classes, config.connections, lambda: self.phase is Phase.READY
+        )
+        self._stop = asyncio.Event()
+
+    def _enter(self, phase: Phase) -> None:
+        log.info("phase", now=phase.value, before=self.phase.value, gateway=self.config.name)
+        self.phase = phase
+
+    async def run(self) -> None:
+        """From start to exit."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        self.core.start()
+        if self.config.known is not None:
+            self.core.list_changed(self.config.known, cached=True)
+        else:
+            self.watch.watch(True)
+        host, port = self.clients.listener.listen(self.config.listen)
+        log.info("listening", host=host, port=port, workers=self.registry.ready)
+        gc.freeze()  # what is loaded now stays: later collections need not look at it
+        sweeps = asyncio.ensure_future(self._sweep())
+        await self._stop.wait()
+        await self._drain()
+        sweeps.cancel()
+        self.watch.close()
+        self.workers.close()
+        self._tell_totals()
+        self._enter(Phase.STOPPED)
+
+    async def _sweep(self) -> None:
+        told = time.monotonic()
+        while True:
+            if self.phase is Phase.STARTING and self.registry.ready:
+                self._enter(Phase.READY)
+            self.workers.sweep()
+            self.clients.sweep()
+            if time.monotonic() - told >= TOTALS:
+                told = time.monotonic()
+                self._tell_totals()
+            await asyncio.sleep(SWEEP if self.phase is not Phase.STARTING else 0.02)
+
+    def _tell_totals(self) -> None:
+        log.info(
+            "totals",
+            open_calls=len(self.core.calls),
+            clients=len(self.clients.listener.connections),
+            workers=self.workers.open,
+            **self.core.totals,
+        )
+
+    async def _drain(self) -> None:
+        """Answer all that was taken, and all that comes while clients still come here."""
+        self._enter(Phase.DRAINING)
+        self.clients.draining = True
+        listener, loop = self.clients.listener, asyncio.get_running_loop()
+        began = loop.time()
+        while loop.time() - began < LONGEST_ACCEPTING:
+            await asyncio.sleep(0.05)
+            listener.close_idle(QUIET)
+            quiet = loop.time() - listener.last_accept >= QUIET
+            if quiet and loop.time() - began >= KEEP_ACCEPTING:
+                break
+        listener.stop()
+        while listener.connections or self.core.calls:
+            listener.close_idle(QUIET)
+            await asyncio.sleep(0.02)
+
+
+def main() -> int:
+    """Run one gateway until it is told to stop."""
+    start_logging()
+    try:
+        config = read_config(os.environ)
+    except ConfigError as error:
+        print(f"lockspoke: {error}", file=sys.stderr)
+        return 2
+    structlog.contextvars.bind_contextvars(gateway=config.name)
+    try:
+        asyncio.run(_run(config))
+    except OSError as error:
+        print(f"lockspoke: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+async def _run(config: Config) -> None:
+    await Program(config).run()
--- /dev/null
+++ b/lockspoke/memory/calls.py
@@ -0,0 +1,115 @@
+"""Calls and delegations: a request that is owed an answer, and the attempts made for it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from hillridge.interface import Outcome
+
+from .registry import Worker
+
+
+class Sink(Protocol):
+    """Where the answer to a call goes. Exactly one of `end`, `broken`, `refuse` and `fail` is called."""
+
+    def event(self, data: bytes) -> asyncio.Future[None] | None:
+        """Pass on a piece of the stream; a future asks for no more until it is done."""
+
+    def end(self) -> None:
+        """The stream is whole."""
+
+    def broken(self) -> None:
+        """The stream broke after it had begun."""
+
+    def refuse(self, retry_after: int) -> None:
+        """An overload reply: trying again is harmless, after so many nanoseconds where that is not 0."""
+
+    def fail(self) -> None:
+        """Failed, with no word on whether it ran."""
+
+
+@dataclass(eq=False, slots=True)
+class Call:
+    """A client's request, whichever front it came by."""
+
+    sink: Sink
+    request_class: int
+    time_left: int  # nanoseconds from now until the client stops waiting for the first token
+    req_id: str
+    method: str
+    target: str
+    headers: Mapping[str, str]  # passed on to the worker
+    body: bytes
+    session: int = 0
+    prefix: int = 0
+    prompt_tokens: float = 0.0
+    prefix_tokens: float = 0.0
+    max_tokens: float = 0.0
+    client_retry: bool = False
+    # Filled by the core:
+    number: int = 0
+    deadline: int = 0
+    delegations: list[Delegation] = field(default_factory=list)
+    owner: Delegation | None = None  # the one that streams
+    answered: bool = False
+
+    @property
+    def over(self) -> bool:
+        """Nothing more will happen to it."""
+        return self.answered and all(one.outcome is not None for one in self.delegations)
+
+
+class Reports(Protocol):
+    """What a delegation tells the core."""
+
+    def streamed(self, delegation: Delegation, data: bytes) -> asyncio.Future[None] | None:
+        """Bytes of the worker's stream."""
+
+    def ended(self, delegation: Delegation, outcome: Outcome, kept: int, report: tuple[float, ...]) -> None:
+        """The delegation is over."""
+
+
+@dataclass(eq=False, slots=True)
+class Delegation:
+    """One attempt of a call at one worker."""
+
+    call: Call
+    index: int
+    worker: Worker
+    sent_at: int
+    deadline: int
+    reports: Reports
+    outcome: Outcome | None = None  # None: still out
+    heard_at: int = 0  # when the stream last brought something
+    waits_for_client: bool = False  # reading is paused, since the client is slow
+
+    def streamed(self, data: bytes) -> asyncio.Future[None] | None:
+        """Bytes of the worker's stream have come."""
+        return self.reports.streamed(self, data)
+
+    def ended(self, outcome: Outcome, kept: int = 0, report: tuple[float, ...] = ()) -> None:
+        """It is over; said twice, only the first counts."""
+        self.reports.ended(self, outcome, kept, report)
+
+
+class Workers(Protocol):
+    """The core's way to the workers: it starts delegations, and each tells how it went."""
+
+    def start(self, delegation: Delegation) -> None:
+        """Begin; never raises, the delegation is told of every failure."""
+
+    def stop(self, delegation: Delegation) -> None:
+        """Give up: nothing more is reported."""
+
+    def forget(self, worker: Worker) -> None:
+        """The worker has moved, restarted or left: its idle connections are of no more use."""
+
+
+class Discovery(Protocol):
+    """The core's way to the list of workers."""
+
+    def watch(self, enable: bool) -> None:
+        """Ask for changes from now on; asked again while a watch runs, it changes nothing."""
--- /dev/null
+++ b/lockspoke/memory/core.py
@@ -0,0 +1,270 @@
+"""The core: feeds the decisions with events, carries out their actions, and owes each call one answer.
+
+It knows no wire. Fronts hand it a `Call` with a sink for the answer; workers and discovery are reached
+through the small interfaces of `calls.py`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+import structlog
+
+from hillridge import Balancer
+from hillridge import interface as api
+
+from .calls import Call, Delegation, Discovery, Workers
+from .registry import Registry, RegistryUpdate
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+SWEEP = SECOND // 4
+SILENT = 3 * SECOND  # a stream that brings nothing for so long has lost its worker
+OVERDUE = 10 * MS  # past the deadline: an answer that the decisions owe is given for them
+
+log = structlog.get_logger()
+
+
+class Timers(Protocol):
+    """The clock, and a way to be called later."""
+
+    def now(self) -> int:
+        """Nanoseconds since the Unix epoch, never going back."""
+
+    def later(self, delay: int, callback: Callable[[], None]) -> None:
+        """Call back after so many nanoseconds."""
+
+
+class Core:
+    """All that one gateway keeps of its calls."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        registry: Registry,
+        timers: Timers,
+        workers: Workers,
+        discovery: Discovery,
+    ) -> None:
+        self.balancer = Balancer(settings, seed)
+        self.registry = registry
+        self.timers = timers
+        self.workers = workers
+        self.discovery = discovery
+        self.calls: dict[int, Call] = {}
+        self.totals: Counter[str] = Counter()
+        self.on_idle: Callable[[], None] = lambda: None
+        self._events: list[api.Event] = []
+        self._busy = False
+
+    def start(self) -> None:
+        """Begin to look after streams and overdue answers."""
+        self._sweep()
+
+    # What fronts and discovery say
+
+    def submit(self, call: Call) -> None:
+        """Take a call; from here on it is owed one final answer."""
+        call.number = self.registry.numbers.call()
+        call.deadline = self.timers.now() + call.time_left
+        self.calls[call.number] = call
+        self.totals["calls"] += 1
+        self._post(
+            api.Arrived(
+                request=call.number,
+                time_left=call.time_left,
+                request_class=call.request_class,
+                session=call.session,
+                prefix=call.prefix,
+                prompt_tokens=call.prompt_tokens,
+                prefix_tokens=call.prefix_tokens,
+                max_tokens=call.max_tokens,
+                client_retry=call.client_retry,
+            )
+        )
+
+    def client_left(self, call: Call) -> None:
+        """The client is gone: nothing is owed any more, but its delegations run on."""
+        if call.answered:
+            return
+        # A worker does not stop for a client that left; read to its end, the stream still tells the
+        # decisions how busy that worker is.
+        self._answered(call, "left")
+        self._post(api.ClientLeft(call.number))
+
+    def list_changed(self, update: RegistryUpdate, cached: bool = False) -> None:
+        """The list of workers, or a change of it."""
+        told, left = self.registry.apply(update, cached)
+        for worker in left:
+            self.workers.forget(worker)
+        self._post(told)
+
+    def list_failed(self) -> None:
+        """A call for the list has failed; the old list still holds."""
+        self.totals["list_failed"] += 1
+        self._post(api.ListUpdate(api.ListKind.FAILED))
+
+    # What delegations say
+
+    def streamed(self, delegation: Delegation, data: bytes) -> asyncio.Future[None] | None:
+        """A piece of a stream: the first makes the call this delegation's, all pass on as they come."""
+        call = delegation.call
+        if delegation.outcome is not None:
+            return None
+        delegation.heard_at = self.timers.now()
+        if call.owner is None:
+            call.owner = delegation
+            self._first_token(delegation)
+            for other in call.delegations:
+                if other is not delegation and other.outcome is None:
+                    self.workers.stop(other)
+                    self.ended(other, api.Outcome.CANCELLED)
+        if call.answered or call.owner is not delegation:
+            return None
+        waits = call.sink.event(data)
+        if waits is not None:
+            delegation.waits_for_client = True
+            waits.add_done_callback(lambda _: self._client_caught_up(delegation))
+        return waits
+
+    def _client_caught_up(self, delegation: Delegation) -> None:
+        delegation.waits_for_client = False
+        delegation.heard_at = self.timers.now()
+
+    def _first_token(self, delegation: Delegation) -> None:
+        elapsed = delegation.heard_at - delegation.sent_at
+        number = delegation.worker.number
+        self._post(api.FirstToken(delegation.call.number, delegation.index, number, elapsed))
+
+    def ended(
+        self,
+        delegation: Delegation,
+        outcome: api.Outcome,
+        kept: int = 0,
+        report: tuple[float, ...] = (),
+    ) -> None:
+        """A delegation is over; what it means for its call follows from whether it had begun to stream."""
+        if delegation.outcome is not None:
+            return
+        delegation.outcome = outcome
+        call = delegation.call
+        self.totals[f"outcome_{outcome.name.lower()}"] += 1
+        if not call.answered:
+            if outcome is api.Outcome.OK:
+                self._answered(call, "served")
+                call.sink.end()
+            elif call.owner is delegation:
+                self._answered(call, "broken")
+                call.sink.broken()
+        elapsed = self.timers.now() - delegation.sent_at
+        number = delegation.worker.number
+        self._post(
+            api.AttemptEnded(
+                call.number, delegation.index, number, outcome, elapsed, call.answered, kept, report
+            )
+        )
+        self._drop_if_over(call)
+
+    # The decisions
+
+    def _post(self, event: api.Event) -> None:
+        """Hand an event to the decisions. Carrying out an action may post more: they wait their turn."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                events, self._events = self._events, []
+                self._decide(events)
+        finally:
+            self._busy = False
+
+    def _decide(self, events: list[api.Event]) -> None:
+        try:
+            actions = self.balancer.handle(self.timers.now(), events)
+        except Exception:
+            # The program must outlive a fault of the decisions; the sweep answers what they leave open.
+            log.exception("decisions_failed", events=[type(event).__name__ for event in events])
+            self.totals["decisions_failed"] += 1
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send(number, replica, timeout):
+                self._send(number, replica, timeout)
+            case api.Refuse(number, retry_after):
+                call = self.calls.get(number)
+                if call is not None and not call.answered:
+                    self._answered(call, "refused")
+                    call.sink.refuse(retry_after)
+            case api.Fail(number):
+                call = self.calls.get(number)
+                if call is not None and not call.answered:
+                    self._answered(call, "failed")
+                    call.sink.fail()
+            case api.SetTimer(delay, token):
+                self.timers.later(delay, lambda: self._post(api.TimerFired(token)))
+            case api.Watch(enable):
+                self.discovery.watch(enable)
+            case api.Log(text):
+                log.warning("decision", text=text)
+
+    def _send(self, number: int, replica: int, timeout: int) -> None:
+        call, worker = self.calls.get(number), self.registry.workers.get(replica)
+        if call is None or worker is None:
+            log.error("send_unknown", call=number, worker=replica)
+            return
+        now = self.timers.now()
+        deadline = min(now + timeout, call.deadline) if timeout else call.deadline
+        delegation = Delegation(call, len(call.delegations), worker, now, deadline, self)
+        call.delegations.append(delegation)
+        if call.answered or call.owner is not None or now >= deadline:
+            self.ended(delegation, api.Outcome.MOOT)
+            return
+        self.totals["delegations"] += 1
+        self.timers.later(deadline - now, lambda: self._timed_out(delegation))
+        self.workers.start(delegation)
+
+    def _timed_out(self, delegation: Delegation) -> None:
+        # A stream that has begun has no deadline.
+        if delegation.outcome is None and delegation.call.owner is not delegation:
+            self.workers.stop(delegation)
+            self.ended(delegation, api.Outcome.TIMEOUT)
+
+    # The end of a call
+
+    def _answered(self, call: Call, how: str) -> None:
+        call.answered = True
+        self.totals[how] += 1
+        self._drop_if_over(call)
+
+    def _drop_if_over(self, call: Call) -> None:
+        if not call.over or self.calls.pop(call.number, None) is None:
+            return
+        call.body = b""  # timers may hold the call itself a while longer
+        if not self.calls:
+            self.on_idle()
+
+    def _sweep(self) -> None:
+        now = self.timers.now()
+        for call in list(self.calls.values()):
+            owner = call.owner
+            if owner is not None and owner.outcome is None:
+                # A machine that vanished leaves its connections open and silent: its client would wait
+                # for ever, where it could ask for the rest.
+                if not owner.waits_for_client and now - owner.heard_at > SILENT:
+                    self.workers.stop(owner)
+                    self.ended(owner, api.Outcome.RESET)
+            elif not call.answered and owner is None and now > call.deadline + OVERDUE:
+                self._answered(call, "overdue")
+                log.error("answer_overdue", call=call.number)
+                call.sink.fail()
+                self._post(api.ClientLeft(call.number))
+        self.timers.later(SWEEP, self._sweep)
--- /dev/null
+++ b/lockspoke/memory/numbers.py
@@ -0,0 +1,45 @@
+"""The one place where names from outside become the integers that the decisions work with."""
+
+from __future__ import annotations
+
+import hashlib
+
+_U32, _U64 = 4, 8
+
+
+def _hash(name: str, size: int) -> int:
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=size).digest(), "big")
+
+
+def key_number(name: str) -> int:
+    """A conversation's or a prefix's number, the same at every gateway; 0 stands for none."""
+    return _hash(name, _U64) or 1 if name else 0
+
+
+class Numbers:
+    """Numbers workers and calls.
+
+    A worker's number comes from its uid alone: the decisions rank workers by it, and all gateways have to
+    find the same ranks without a word to one another.
+    """
+
+    def __init__(self) -> None:
+        self._workers: dict[str, int] = {}
+        self._taken: set[int] = set()
+        self._calls = 0
+
+    def worker(self, uid: str) -> int:
+        """The number of a worker, for as long as the program runs."""
+        number = self._workers.get(uid)
+        if number is None:
+            number = _hash(uid, _U32)
+            while number in self._taken:  # two uids with one hash must not become one worker
+                number = (number + 1) % (1 << 32)
+            self._workers[uid] = number
+            self._taken.add(number)
+        return number
+
+    def call(self) -> int:
+        """The next call's number; a client's id may come twice, this does not."""
+        self._calls = (self._calls + 1) % (1 << 32)
+        return self._calls
--- /dev/null
+++ b/lockspoke/wire/clients.py
@@ -0,0 +1,257 @@
+"""The platform's front: its protocol on client connections, kept thin."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from lockspoke.memory.calls import Call
+from lockspoke.memory.core import Core
+from lockspoke.memory.numbers import key_number
+
+from .fields import decode_call
+from .http1 import (
+    Gatherer,
+    HttpError,
+    Request,
+    encode_answer,
+    encode_chunk,
+    encode_head,
+)
+from .listener import READ, Listener, Outbox
+
+MS = 1_000_000
+SECOND = 1_000 * MS
+CALLS_PATH = "/v1/chat/completions"
+READY_PATH = "/up"
+METHODS = {CALLS_PATH: "POST", READY_PATH: "GET"}
+WAITING = 4  # requests that one connection may have sent ahead; clients send one at a time
+IDLE = 60.0  # seconds a connection is kept between requests
+HALF = 30.0  # seconds a request may take to arrive
+STALL = 20.0  # seconds a client may take nothing of its answer
+HELD_BYTES = 48 * 1024 * 1024  # of requests in all connections together
+BUSY_RETRY = SECOND  # advice with the overload reply to what would go past that
+NOT_PASSED = {"connection", "content-length", "transfer-encoding", "expect", "keep-alive", "te", "trailer"}
+NOT_PASSED |= {"upgrade", "req-id", "req-deadline-ms", "proxy-connection"}
+STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
+
+
+class ClientFront:
+    """Client connections of the platform's port."""
+
+    def __init__(self, core: Core, classes: Mapping[str, int], most: int, ready: Callable[[], bool]) -> None:
+        self.core = core
+        self.classes = classes
+        self.ready = ready
+        self.draining = False
+        self.held_bytes = 0
+        self.listener = Listener(lambda stream: ClientConnection(self, stream), most)
+
+    def sweep(self) -> None:
+        """Close connections that stand idle, stalled, or amid a request for too long."""
+        now = asyncio.get_running_loop().time()
+        self.listener.close_idle(IDLE)
+        for connection in list(self.listener.connections):
+            assert isinstance(connection, ClientConnection)
+            connection.check(now)
+
+
+class ClientConnection:
+    """One client: its requests are answered in order, one at a time."""
+
+    def __init__(self, front: ClientFront, stream: IOStream) -> None:
+        self.front = front
+        self.stream = stream
+        self.outbox = Outbox(stream)
+        self.opened_at = self.active_at = asyncio.get_running_loop().time()
+        self.gatherer = Gatherer()
+        self.held = 0  # bytes of requests, read or half read
+        self.waiting: deque[Request | HttpError] = deque()
+        self.call: Call | None = None
+        self.closing = False
+
+    @property
+    def idle(self) -> bool:
+        """Between two requests."""
+        return self.call is None and not self.waiting and self.gatherer.idle and not self.outbox.unsent
+
+    async def run(self) -> None:
+        """Read until the client closes; the read that is always pending notices that at once."""
+        try:
+            while True:
+                data = await self.stream.read_bytes(READ, partial=True)
+                if not self.closing:
+                    self._take(data)
+        except StreamClosedError:
+            pass
+        finally:
+            self._hold(0)
+            if self.call is not None:
+                self.front.core.client_left(self.call)
+
+    def check(self, now: float) -> None:
+        """Guards against clients that take or send nothing for ever."""
+        if self.outbox.stalled(now, STALL):
+            self.stream.close()
+        elif self.call is None and not self.gatherer.idle and now - self.active_at > HALF:
+            self._refuse_input(HttpError(408, "request took too long"))
+
+    def _take(self, data: bytes) -> None:
+        self.active_at = self.active_at if not self.gatherer.idle else asyncio.get_running_loop().time()
+        try:
+            self.waiting.extend(self.gatherer.feed(data))
+            if self.gatherer.wants_continue():
+                self.outbox.write(encode_head(100, {}))
+        except HttpError as error:
+            self.waiting.append(error)
+        self._hold(
+            self.gatherer.size + sum(len(one.body) for one in self.waiting if isinstance(one, Request))
+        )
+        if len(self.waiting) > WAITING:
+            self.stream.close()
+        elif self.front.held_bytes > HELD_BYTES and self.call is None:
+            # Guards the memory limit: many large requests at once are turned away, not buffered.
+            self._refuse_input(HttpError(503, "too many bytes held"))
+        elif self.call is None:
+            self._next()
+
+    def _hold(self, size: int) -> None:
+        size += len(self.call.body) if self.call is not None else 0
+        self.front.held_bytes += size - self.held
+        self.held = size
+
+    def _next(self) -> None:
+        """Answer what waits, up to the first call."""
+        while self.waiting and self.call is None and not self.closing:
+            request = self.waiting.popleft()
+            if isinstance(request, HttpError):
+                self._refuse_input(request)
+                return
+            try:
+                self._answer(request)
+            except HttpError as error:
+                self.whole(request, error.status, str(error))
+
+    def _answer(self, request: Request) -> None:
+        head = request.head
+        method = METHODS.get(head.path)
+        if method is None:
+            raise HttpError(404, "no such path")
+        if head.method != method:
+            self.whole(request, 405, "wrong method", {"Allow": method})
+        elif method == "GET":
+            self.whole(request, *((200, "ready") if self.front.ready() else (503, "not ready")))
+        else:
+            self._call(request)
+
+    def _call(self, request: Request) -> None:
+        head = request.head
+        fields = decode_call(head.headers)
+        if fields.kind not in self.front.classes:
+            raise HttpError(400, "unknown Req-Kind")
+        call = Call(
+            sink=StreamedAnswer(self, request),
+            request_class=self.front.classes[fields.kind],
+            time_left=fields.deadline_ms * MS,
+            req_id=fields.req_id,
+            method=head.method,
+            target=head.target,
+            headers={name: value for name, value in head.headers.fields if name not in NOT_PASSED},
+            body=request.body,
+            session=key_number(fields.key),
+            prefix=key_number(fields.prefix),
+            prompt_tokens=fields.prompt_len,
+            prefix_tokens=fields.prefix_len,
+            max_tokens=fields.max_out,
+            client_retry=fields.retry,
+        )
+        self.call = call
+        self.front.core.submit(call)
+
+    def whole(
+        self, request: Request, status: int, text: str, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Give a whole answer in one piece."""
+        keep = self.keeps(request)
+        self.outbox.write(encode_answer(status, f"{text}\n".encode(), _plain(headers), keep))
+        self.answered(keep)
+
+    def _refuse_input(self, error: HttpError) -> None:
+        """Where a message ends is not known any more, so the connection ends with the answer."""
+        headers = {"Retry-After": _seconds(BUSY_RETRY)} if error.status == 503 else None
+        self.outbox.write(encode_answer(error.status, f"{error}\n".encode(), _plain(headers), False))
+        self.answered(False)
+
+    def keeps(self, request: Request) -> bool:
+        """Whether the connection goes on after the answer."""
+        return request.head.keep_alive and not self.front.draining
+
+    def answered(self, keep: bool) -> None:
+        """The answer is written: on to the next request, or close."""
+        self.call = None
+        self.active_at = asyncio.get_running_loop().time()
+        if keep:
+            self._hold(sum(len(one.body) for one in self.waiting if isinstance(one, Request)))
+            self._next()
+        else:
+            self.closing = True
+            self.waiting.clear()
+            self.outbox.close()
+
+
+class StreamedAnswer:
+    """The sink of a call that came over a client connection."""
+
+    def __init__(self, connection: ClientConnection, request: Request) -> None:
+        self.connection = connection
+        self.request = request
+        self.chunked = request.head.minor > 0  # HTTP/1.0 knows no chunks: there the close ends it
+        self.begun = False
+        self.keep = False
+
+    def event(self, data: bytes) -> asyncio.Future[None] | None:
+        """Pass a piece on at once, head and all."""
+        piece = encode_chunk(data) if self.chunked else data
+        if not self.begun:
+            self.begun = True
+            piece = self._head() + piece
+        return self.connection.outbox.write(piece)
+
+    def _head(self) -> bytes:
+        self.keep = self.connection.keeps(self.request) and self.chunked
+        headers = dict(STREAM_HEADERS)
+        if self.chunked:
+            headers["Transfer-Encoding"] = "chunked"
+        if not self.keep:
+            headers["Connection"] = "close"
+        return encode_head(200, headers)
+
+    def end(self) -> None:
+        """The stream is whole: the last chunk says so."""
+        piece = encode_chunk(b"") if self.chunked else b""
+        self.connection.outbox.write(piece if self.begun else self._head() + piece)
+        self.connection.answered(self.keep)
+
+    def broken(self) -> None:
+        """No last chunk: the client sees that something is missing."""
+        self.connection.answered(False)
+
+    def refuse(self, retry_after: int) -> None:
+        """An overload reply."""
+        headers = {"Retry-After": _seconds(retry_after)} if retry_after else None
+        self.connection.whole(self.request, 503, "overloaded", headers)
+
+    def fail(self) -> None:
+        """Failed."""
+        self.connection.whole(self.request, 502, "failed")
+
+
+def _plain(headers: Mapping[str, str] | None) -> dict[str, str]:
+    return {"Content-Type": "text/plain; charset=utf-8", **(headers or {})}
+
+
+def _seconds(nanoseconds: int) -> str:
+    return f"{nanoseconds / SECOND:.3f}"
--- /dev/null
+++ b/lockspoke/wire/listener.py
@@ -0,0 +1,157 @@
+"""What both fronts' listeners share: accepting within a bound, and connections that can be looked after."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+import structlog
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import add_accept_handler, bind_sockets
+
+BACKLOG = 1024
+READ = 16 * 1024
+ACCEPTS = 64  # at a time, so that those already here get their turn
+
+log = structlog.get_logger()
+
+
+class Connection(Protocol):
+    """A client's connection, as the listener sees it."""
+
+    stream: IOStream
+    opened_at: float
+    active_at: float
+
+    @property
+    def idle(self) -> bool:
+        """Between two requests."""
+
+    def run(self) -> Coroutine[Any, Any, None]:
+        """Serve until it ends."""
+
+
+class Listener:
+    """Accepts connections at one address, no more at a time than its descriptors allow."""
+
+    def __init__(self, make: Callable[[IOStream], Connection], most: int) -> None:
+        self.make = make
+        self.most = most
+        self.connections: set[Connection] = set()
+        self.last_accept = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._socket: socket.socket | None = None
+        self._remove: Callable[[], None] | None = None
+
+    def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        """Listen; gives the address, since the kernel may pick the port."""
+        self._socket = bind_sockets(address[1], address[0], backlog=BACKLOG)[0]
+        self._resume()
+        host, port = self._socket.getsockname()[:2]
+        return host, port
+
+    def _resume(self) -> None:
+        if self._socket is not None and self._remove is None and self._has_room():
+            self._remove = add_accept_handler(self._socket, self._accepted)
+
+    def _has_room(self) -> bool:
+        if len(self.connections) >= self.most:
+            # A client whose idle connection closes opens another; one in the backlog just waits.
+            idle = [one for one in self.connections if one.idle]
+            if idle:
+                min(idle, key=lambda one: one.active_at).stream.close()
+                return True
+        return len(self.connections) < self.most
+
+    def _accepted(self, accepted: socket.socket, _: object) -> None:
+        self.last_accept = asyncio.get_running_loop().time()
+        accepted.setblocking(False)
+        stream = IOStream(accepted, max_buffer_size=1024 * 1024, read_chunk_size=READ)
+        stream.set_nodelay(True)
+        connection = self.make(stream)
+        self.connections.add(connection)
+        task = asyncio.ensure_future(connection.run())
+        self._tasks.add(task)
+        task.add_done_callback(lambda done: self._ended(connection, done))
+        if not self._has_room() and self._remove is not None:
+            log.warning("clients_at_limit", connections=len(self.connections))
+            self._remove()
+            self._remove = None
+
+    def _ended(self, connection: Connection, task: asyncio.Task[None]) -> None:
+        self.connections.discard(connection)
+        self._tasks.discard(task)
+        connection.stream.close()
+        if not task.cancelled() and task.exception() is not None:
+            log.error("connection_failed", error=repr(task.exception()))
+        self._resume()
+
+    def close_idle(self, older_than: float) -> None:
+        """Close connections between requests that have been so for some seconds."""
+        before = asyncio.get_running_loop().time() - older_than
+        for connection in list(self.connections):
+            if connection.idle and connection.active_at <= before:
+                connection.stream.close()
+
+    def stop(self) -> None:
+        """Accept what the machine has accepted already, then no more."""
+        if self._socket is None:
+            return
+        if self._remove is not None:
+            self._remove()
+            self._remove = None
+        # A request may already be written to a connection that waits in the backlog: it is ours.
+        while len(self.connections) < self.most:
+            try:
+                accepted, address = self._socket.accept()
+            except OSError:
+                break
+            self._accepted(accepted, address)
+        self._socket.close()
+        self._socket = None
+
+
+class Outbox:
+    """Writes to one client, and tells when it is too slow to take more."""
+
+    HIGH = 32 * 1024  # unsent bytes from which on the source is asked to wait
+
+    def __init__(self, stream: IOStream) -> None:
+        self.stream = stream
+        self.unsent = 0
+        self.progress_at = 0.0
+
+    def write(self, data: bytes) -> asyncio.Future[None] | None:
+        """Send; the future, if any, is done when the client has caught up."""
+        try:
+            written = asyncio.ensure_future(self.stream.write(data))
+        except StreamClosedError:
+            return None  # the reader notices as well, and says so
+        if written.done():
+            return None
+        if not self.unsent:
+            self.progress_at = asyncio.get_running_loop().time()
+        self.unsent += len(data)
+        written.add_done_callback(lambda done: self._sent(len(data), done))
+        return written if self.unsent > self.HIGH else None
+
+    def _sent(self, count: int, done: asyncio.Future[None]) -> None:
+        self.unsent -= count
+        self.progress_at = asyncio.get_running_loop().time()
+        if not done.cancelled():
+            done.exception()
+
+    def close(self) -> None:
+        """Close once what was written is sent."""
+        if not self.unsent or self.stream.closed():
+            self.stream.close()
+            return
+        # An empty write is done when all that stands before it is.
+        flushed = asyncio.ensure_future(self.stream.write(b""))
+        flushed.add_done_callback(lambda _: self.stream.close())
+
+    def stalled(self, now: float, limit: float) -> bool:
+        """Whether the client has taken nothing for so long, though there was something to take."""
+        return bool(self.unsent) and now - self.progress_at > limit
--- /dev/null
+++ b/lockspoke/wire/watch.py
@@ -0,0 +1,118 @@
+"""The driver of discovery: one watch after another, on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import structlog
+from tornado.iostream import IOStream, StreamClosedError
+
+from lockspoke.memory.core import Core
+
+from .discovery import LIST_LIMIT, ListError, decode_list
+from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
+
+HOLD_MS = 8000
+GRACE = 2.0  # seconds past the hold: discovery's word counts as told by then
+CONNECT = 1.0
+
+log = structlog.get_logger()
+
+
+class CallError(Exception):
+    """A call for the list has failed."""
+
+
+class DiscoveryWatch:
+    """Asks discovery for changes for as long as the calls succeed."""
+
+    def __init__(self, endpoint: tuple[str, int]) -> None:
+        self.endpoint = endpoint
+        self.core: Core | None = None
+        self._stream: IOStream | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._failing = False
+
+    def watch(self, enable: bool) -> None:
+        """Begin to watch, or end that; a watch that runs goes on."""
+        running = self._task is not None and not self._task.done()
+        if enable and not running:
+            self._task = asyncio.ensure_future(self._run())
+        elif not enable and self._task is not None:
+            self.close()
+
+    def close(self) -> None:
+        """End the watch."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+        self._hang_up()
+
+    async def _run(self) -> None:
+        core = self.core
+        assert core is not None
+        while True:
+            rev = core.registry.rev
+            wait = f"?from={rev}&hold_ms={HOLD_MS}" if rev >= 0 else ""
+            try:
+                # The next watch has to come within 200 ms of the last answer: at once.
+                update = decode_list(await self._call(f"/discovery/hosts{wait}"))
+            except (CallError, ListError) as error:
+                self._hang_up()
+                if not self._failing:
+                    log.warning("discovery_failing", reason=str(error))
+                self._failing, self._task = True, None
+                core.list_failed()
+                return
+            if self._failing:
+                log.info("discovery_back", rev=update.rev)
+            self._failing = False
+            if update.entries:
+                log.info("registry_changed", rev=update.rev, whole=update.whole, entries=len(update.entries))
+            core.list_changed(update)
+
+    async def _call(self, target: str) -> bytes:
+        reused = self._stream is not None and not self._stream.closed()
+        try:
+            async with asyncio.timeout(HOLD_MS / 1000 + GRACE):
+                try:
+                    return await self._exchange(target)
+                except StreamClosedError:
+                    if not reused:
+                        raise
+                    # Discovery closed the connection between two calls: that is no failure of a call.
+                    self._hang_up()
+                    return await self._exchange(target)
+        except (StreamClosedError, HttpError, OSError) as error:
+            raise CallError(f"{type(error).__name__}: {error}") from None
+
+    async def _exchange(self, target: str) -> bytes:
+        if self._stream is None or self._stream.closed():
+            family = socket.AF_INET6 if ":" in self.endpoint[0] else socket.AF_INET
+            self._stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+            self._stream.set_nodelay(True)
+            async with asyncio.timeout(CONNECT):
+                await self._stream.connect(self.endpoint)
+        host = "{}:{}".format(*self.endpoint)
+        await self._stream.write(encode_request("GET", target, {"Host": host}))
+        parser, body, head = ResponseParser(), bytearray(), None
+        while True:
+            for piece in parser.feed(await self._stream.read_bytes(65536, partial=True)):
+                if isinstance(piece, ResponseHead):
+                    head = piece
+                elif isinstance(piece, Data):
+                    body += piece.data
+                    if len(body) > LIST_LIMIT:
+                        raise HttpError(502, "list too large")
+                elif isinstance(piece, End) and head is not None:
+                    if not head.keep_alive:
+                        self._hang_up()
+                    if head.status != 200:
+                        raise CallError(f"status {head.status}")
+                    return bytes(body)
+
+    def _hang_up(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
--- /dev/null
+++ b/lockspoke/wire/workers.py
@@ -0,0 +1,228 @@
+"""The driver of the connections to workers: one delegation at a time on each, kept for the next."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import structlog
+from tornado.iostream import IOStream, StreamClosedError
+
+from hillridge.interface import Outcome
+from lockspoke.memory.calls import Delegation
+from lockspoke.memory.registry import Worker
+
+from .fields import decode_load
+from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
+from .sse import EventStream
+
+MS = 1_000_000
+READ = 16 * 1024
+IDLE_SHARE = 0.8  # of the time after which a worker closes an idle connection: ours closes before
+
+log = structlog.get_logger()
+
+
+class ConnectError(Exception):
+    """The connection never came up: the request has surely not run."""
+
+
+class NoRoomError(Exception):
+    """Every descriptor set aside for workers is in use by a delegation."""
+
+
+class Connection:
+    """A connection to one worker. A read is always pending, so that its end is noticed while it is idle."""
+
+    def __init__(self, worker: Worker, stream: IOStream) -> None:
+        self.worker = worker
+        self.endpoint = worker.endpoint
+        self.stream = stream
+        self.idle_since = 0.0
+        self.pending: asyncio.Future[bytes] = self._read()
+
+    def _read(self) -> asyncio.Future[bytes]:
+        pending = asyncio.ensure_future(self.stream.read_bytes(READ, partial=True))
+        # An end while idle is nobody's error: it must not be reported as one that was never looked at.
+        pending.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return pending
+
+    async def read(self) -> bytes:
+        """The next bytes."""
+        data = await self.pending
+        self.pending = self._read()
+        return data
+
+
+class WorkerConnections:
+    """Carries out delegations over TCP."""
+
+    def __init__(
+        self,
+        load_names: Sequence[str],
+        connect_timeout: int,
+        keepalive: int,
+        most: int,
+        now: Callable[[], int],
+    ) -> None:
+        self.load_names = load_names
+        self.connect_timeout = connect_timeout / 1e9
+        self.idle_limit = IDLE_SHARE * keepalive / 1e9
+        self.most = most
+        self.now = now
+        self.open = 0
+        self.idle: dict[int, deque[Connection]] = {}  # by worker, the one used last at the right
+        self.tasks: dict[Delegation, asyncio.Task[None]] = {}
+
+    # What the core asks for
+
+    def start(self, delegation: Delegation) -> None:
+        """Begin a delegation."""
+        task = asyncio.ensure_future(self._run(delegation))
+        self.tasks[delegation] = task
+        task.add_done_callback(lambda _: self.tasks.pop(delegation, None))
+
+    def stop(self, delegation: Delegation) -> None:
+        """Give a delegation up: its connection closes."""
+        task = self.tasks.pop(delegation, None)
+        if task is not None:
+            task.cancel()
+
+    def forget(self, worker: Worker) -> None:
+        """Close the idle connections to a worker."""
+        for connection in self.idle.pop(worker.number, ()):
+            self._close(connection)
+
+    def sweep(self) -> None:
+        """Close what has stood idle for long: the worker would, and a request written then is lost."""
+        oldest = asyncio.get_running_loop().time() - self.idle_limit
+        for connections in self.idle.values():
+            while connections and connections[0].idle_since <= oldest:
+                self._close(connections.popleft())
+
+    # One delegation
+
+    async def _run(self, delegation: Delegation) -> None:
+        connection = None
+        try:
+            connection = await self._acquire(delegation.worker)
+            outcome, kept, load, reusable = await self._exchange(connection, delegation)
+            if reusable:
+                self._release(connection)
+                connection = None
+            delegation.ended(outcome, kept, decode_load(load, self.load_names))
+        except ConnectError:
+            delegation.ended(Outcome.CONNECT_FAILED)
+        except NoRoomError:
+            delegation.ended(Outcome.MOOT)
+        except Exception:
+            log.exception("delegation_failed", worker=delegation.worker.uid)
+            delegation.ended(Outcome.RESET)
+        finally:
+            if connection is not None:
+                self._close(connection)
+
+    async def _exchange(
+        self, connection: Connection, delegation: Delegation
+    ) -> tuple[Outcome, int, str, bool]:
+        """Send the request and read the answer: the outcome, kept tokens, load, and whether to keep it."""
+        call = delegation.call
+        headers = dict(call.headers)
+        headers["Req-Id"] = call.req_id
+        headers["Req-Deadline-Ms"] = str(max(1, (delegation.deadline - self.now()) // MS))
+        try:
+            await connection.stream.write(encode_request(call.method, call.target, headers, call.body))
+        except StreamClosedError:
+            # Not all of it was written: a worker begins with the last byte, so it has not run. A fresh
+            # try on a new connection is not ours to make: it would be an attempt nobody decided on.
+            raise ConnectError from None
+        parser, events = ResponseParser(), EventStream()
+        head: ResponseHead | None = None
+        outcome = Outcome.RESET
+        try:
+            while True:
+                for piece in parser.feed(await connection.read()):
+                    if isinstance(piece, ResponseHead):
+                        head = piece
+                        outcome = _outcome(head)
+                    elif isinstance(piece, Data) and outcome is Outcome.OK:
+                        events.feed(piece.data)
+                        waits = delegation.streamed(piece.data)
+                        if waits is not None:
+                            await asyncio.wait([waits])
+                    elif isinstance(piece, End) and head is not None:
+                        load = events.load or head.headers.get("srv-load")
+                        return outcome, events.kept_tokens, load, head.keep_alive and parser.between
+        except (StreamClosedError, HttpError):
+            load = events.load or (head.headers.get("srv-load") if head else "")
+            return (Outcome.RESET if outcome is Outcome.OK else outcome), 0, load, False
+
+    # The connections
+
+    async def _acquire(self, worker: Worker) -> Connection:
+        self.sweep()
+        connections = self.idle.get(worker.number)
+        while connections:
+            connection = connections.pop()
+            if not connection.stream.closed() and not connection.pending.done():
+                return connection
+            self._close(connection)
+        if self.open >= self.most:
+            self._make_room()
+        if worker.endpoint is None:
+            raise ConnectError
+        self.open += 1
+        family = socket.AF_INET6 if ":" in worker.endpoint[0] else socket.AF_INET
+        stream = None
+        try:
+            stream = IOStream(socket.socket(family, socket.SOCK_STREAM), read_chunk_size=READ)
+            stream.set_nodelay(True)
+            async with asyncio.timeout(self.connect_timeout):
+                await stream.connect(worker.endpoint)
+            return Connection(worker, stream)
+        except BaseException as error:
+            self.open -= 1
+            if stream is not None:
+                stream.close()
+            if isinstance(error, OSError | StreamClosedError | TimeoutError):
+                raise ConnectError from None
+            raise
+
+    def _make_room(self) -> None:
+        """Close the connection idle for longest, whichever worker's; the descriptors are bounded."""
+        queues = [queue for queue in self.idle.values() if queue]
+        if not queues:
+            raise NoRoomError
+        self._close(min(queues, key=lambda queue: queue[0].idle_since).popleft())
+
+    def _release(self, connection: Connection) -> None:
+        worker = connection.worker
+        moved = worker.state != "ready" or worker.endpoint != connection.endpoint
+        if moved or connection.pending.done():
+            self._close(connection)
+            return
+        connection.idle_since = asyncio.get_running_loop().time()
+        self.idle.setdefault(worker.number, deque()).append(connection)
+
+    def _close(self, connection: Connection) -> None:
+        self.open -= 1
+        connection.stream.close()
+
+    def close(self) -> None:
+        """End everything."""
+        for task in list(self.tasks.values()):
+            task.cancel()
+        for connections in self.idle.values():
+            while connections:
+                self._close(connections.pop())
+
+
+def _outcome(head: ResponseHead) -> Outcome:
+    """What the status of an answer means, by the protocol's table."""
+    if head.status == 200:
+        return Outcome.OK
+    if head.status in (503, 504) and head.headers.get("srv-declined") == "1":
+        return Outcome.FULL
+    return Outcome.ERROR
