--- /dev/null
+++ b/.ci/start.py
@@ -0,0 +1,52 @@
+"""Build as deploy/balancer.toml says, then start `run` and `sim` as the platform would."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import struct
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from tests.standins import SETTINGS  # noqa: E402
+
+
+def shell(command: str, **more: object) -> subprocess.Popen[bytes]:
+    """Start a command of the deploy file."""
+    return subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, **more)  # type: ignore[call-overload,no-any-return]
+
+
+def main() -> None:
+    """Fail loudly where a command does not do what the platform expects of it."""
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert shell(deploy["build"]).wait(600) == 0, "build failed"
+
+    sim = shell(deploy["sim"], stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+    empty = struct.pack("<IIQI", 16, 0, 1, 7)
+    out, _ = sim.communicate(empty, timeout=60)
+    assert out == struct.pack("<II", 4, 7) and sim.returncode == 0, f"sim answered {out!r}"
+
+    with tempfile.TemporaryDirectory() as folder:
+        config = Path(folder, "config.json")
+        target = {"uid": "s-1", "endpoint": "127.0.0.1:9", "state": "up"}
+        known = {"rev": 1, "all": True, "targets": [target]}
+        config.write_text(json.dumps({"name": "ci", "seed": "1", "known": known, "settings": SETTINGS}))
+        told = {"NODE_CONFIG": str(config), "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": "127.0.0.1:9"}
+        run = shell(deploy["run"], env=os.environ | told, stderr=subprocess.PIPE)
+        assert run.stderr is not None
+        ready = any(b'"now": "ready"' in line for line in run.stderr)
+        run.send_signal(signal.SIGTERM)
+        run.stderr.read()
+        assert ready and run.wait(30) == 0, f"run was ready: {ready}, and ended with {run.returncode}"
+    print("run and sim start")
+
+
+if __name__ == "__main__":
+    main()
--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -27,12 +27,13 @@
 
     name: str
     listen: tuple[str, int]
-    discovery: tuple[str, int]
+    discovery: tuple[str, int] | None  # none where an inventory feeds the registry
     seed: int
     sockets: int
     known: RegistryUpdate | None
     settings: Settings
     classes: dict[str, int]  # by name, their place in the settings
+    deadlines: tuple[int, ...]  # by class
     zones: tuple[str, ...]
     load_names: tuple[str, ...]
     connect_timeout: int
@@ -94,15 +95,19 @@
     for profile in _dig(settings, "profiles", []):
         names.append(str(profile.get("name", "")) if isinstance(profile, dict) else "")
     known = raw.get("known")
+    discovery = environment.get("NODE_DISCOVERY") or str(raw.get("discovery", ""))
     return Config(
         name=environment.get("NODE_NAME") or str(raw.get("name", "")),
-        listen=decode_endpoint(environment.get("NODE_LISTEN") or str(raw.get("listen", ""))),
-        discovery=decode_endpoint(environment.get("NODE_DISCOVERY") or str(raw.get("discovery", ""))),
+        listen=decode_endpoint(environment.get("NODE_LISTEN") or str(raw.get("listen", "")), 0),
+        discovery=None if not discovery else decode_endpoint(discovery),
         seed=_seed(raw.get("seed", "0")),
         sockets=_whole(raw, "limits.sockets", 1024),
         known=None if known is None else read_list(known),
         settings=decode_settings(json.dumps(settings).encode()),
         classes={name: index for index, name in enumerate(names)},
+        deadlines=tuple(
+            _whole(profile, "deadline", 10_000 * MS) for profile in _dig(settings, "profiles", [])
+        ),
         zones=_words(settings, "zones"),
         load_names=_words(settings, "loadInfo.fields"),
         connect_timeout=_whole(settings, "limits.connectTimeout", 100 * MS),
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import os
@@ -10,6 +11,7 @@
 import time
 from collections.abc import Callable
 from enum import Enum
+from pathlib import Path
 
 import structlog
 
@@ -17,9 +19,12 @@
 from lockspoke.memory.numbers import Numbers
 from lockspoke.memory.registry import Registry
 from lockspoke.wire.clients import ClientFront
+from lockspoke.wire.inventory import InventoryError
+from lockspoke.wire.inventory_watch import InventoryWatch
 from lockspoke.wire.watch import DiscoveryWatch
 from lockspoke.wire.workers import WorkerConnections
 
+from .batch import BatchConfig, BatchSide, read_batch_config
 from .config import Config, ConfigError, read_config
 from .logs import start_logging
 
@@ -60,7 +65,7 @@
 class Program:
     """One gateway."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, batch: BatchConfig | None = None) -> None:
         self.config = config
         self.phase = Phase.STARTING
         self.timers = LoopTimers()
@@ -72,16 +77,17 @@
             config.connections,
             self.timers.now,
         )
-        self.watch = DiscoveryWatch(config.discovery)
+        self.watch = _watch(config, batch)
         self.core = Core(config.settings, config.seed, self.registry, self.timers, self.workers, self.watch)
         self.watch.core = self.core
         self.clients = ClientFront(
             self.core, config.classes, config.connections, lambda: self.phase is Phase.READY
         )
+        self.batch = None if batch is None else BatchSide(batch, config, self.core)
         self._stop = asyncio.Event()
 
     def _enter(self, phase: Phase) -> None:
-        log.info("phase", now=phase.value, before=self.phase.value, gateway=self.config.name)
+        log.info("phase", now=phase.value, before=self.phase.value)
         self.phase = phase
 
     async def run(self) -> None:
@@ -90,12 +96,15 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
         self.core.start()
-        if self.config.known is not None:
-            self.core.list_changed(self.config.known, cached=True)
+        known = self.watch.load() if isinstance(self.watch, InventoryWatch) else self.config.known
+        if known is not None:
+            self.core.list_changed(known, cached=True)
         else:
             self.watch.watch(True)
         host, port = self.clients.listener.listen(self.config.listen)
         log.info("listening", host=host, port=port, workers=self.registry.ready)
+        if self.batch is not None:
+            self.batch.start()
         gc.freeze()  # what is loaded now stays: later collections need not look at it
         sweeps = asyncio.ensure_future(self._sweep())
         await self._stop.wait()
@@ -113,6 +122,8 @@
                 self._enter(Phase.READY)
             self.workers.sweep()
             self.clients.sweep()
+            if self.batch is not None:
+                self.batch.front.sweep()
             if time.monotonic() - told >= TOTALS:
                 told = time.monotonic()
                 self._tell_totals()
@@ -131,6 +142,7 @@
         """Answer all that was taken, and all that comes while clients still come here."""
         self._enter(Phase.DRAINING)
         self.clients.draining = True
+        ending = None if self.batch is None else asyncio.ensure_future(self.batch.stop())
         listener, loop = self.clients.listener, asyncio.get_running_loop()
         began = loop.time()
         while loop.time() - began < LONGEST_ACCEPTING:
@@ -143,24 +155,38 @@
         while listener.connections or self.core.calls:
             listener.close_idle(QUIET)
             await asyncio.sleep(0.02)
+        if ending is not None:
+            await ending
+
+
+def _watch(config: Config, batch: BatchConfig | None) -> DiscoveryWatch | InventoryWatch:
+    """Where the registry comes from: the platform's discovery, or a file of ours."""
+    if batch is not None and batch.inventory is not None:
+        return InventoryWatch(batch.inventory)
+    if config.discovery is None:
+        raise ConfigError("discovery is missing")
+    return DiscoveryWatch(config.discovery)
 
 
 def main() -> int:
     """Run one gateway until it is told to stop."""
+    parser = argparse.ArgumentParser(prog="lockspoke", description="A gateway for language-model workers.")
+    parser.add_argument("--batch", type=Path, metavar="FILE", help="also listen for batches, as FILE says")
+    options = parser.parse_args()
     start_logging()
     try:
         config = read_config(os.environ)
-    except ConfigError as error:
+        structlog.contextvars.bind_contextvars(gateway=config.name)
+        batch = None if options.batch is None else read_batch_config(options.batch, os.environ)
+        asyncio.run(_run(config, batch))
+    except (ConfigError, InventoryError) as error:
         print(f"lockspoke: {error}", file=sys.stderr)
         return 2
-    structlog.contextvars.bind_contextvars(gateway=config.name)
-    try:
-        asyncio.run(_run(config))
     except OSError as error:
         print(f"lockspoke: {error}", file=sys.stderr)
         return 1
     return 0
 
 
-async def _run(config: Config) -> None:
-    await Program(config).run()
+async def _run(config: Config, batch: BatchConfig | None) -> None:
+    await Program(config, batch).run()
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -49,6 +49,7 @@
     prefix_tokens: float = 0.0
     max_tokens: float = 0.0
     client_retry: bool = False
+    background: bool = False  # nobody waits at the other end of a connection: others go first
     # Filled by the core:
     number: int = 0
     deadline: int = 0
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -57,7 +57,7 @@
         self.discovery = discovery
         self.calls: dict[int, Call] = {}
         self.totals: Counter[str] = Counter()
-        self.on_idle: Callable[[], None] = lambda: None
+        self.live_refused_at = 0  # when a call that somebody waits for was last turned away
         self._events: list[api.Event] = []
         self._busy = False
 
@@ -108,6 +108,15 @@
         self.totals["list_failed"] += 1
         self._post(api.ListUpdate(api.ListKind.FAILED))
 
+    def live_held(self) -> bool:
+        """Whether a call that somebody waits for is held, since no worker has room for it."""
+        return any(
+            not call.background
+            and not call.answered
+            and all(one.outcome is not None for one in call.delegations)
+            for call in self.calls.values()
+        )
+
     # What delegations say
 
     def streamed(self, delegation: Delegation, data: bytes) -> asyncio.Future[None] | None:
@@ -202,6 +211,8 @@
             case api.Refuse(number, retry_after):
                 call = self.calls.get(number)
                 if call is not None and not call.answered:
+                    if not call.background:
+                        self.live_refused_at = self.timers.now()
                     self._answered(call, "refused")
                     call.sink.refuse(retry_after)
             case api.Fail(number):
@@ -246,11 +257,8 @@
         self._drop_if_over(call)
 
     def _drop_if_over(self, call: Call) -> None:
-        if not call.over or self.calls.pop(call.number, None) is None:
-            return
-        call.body = b""  # timers may hold the call itself a while longer
-        if not self.calls:
-            self.on_idle()
+        if call.over and self.calls.pop(call.number, None) is not None:
+            call.body = b""  # timers may hold the call itself a while longer
 
     def _sweep(self) -> None:
         now = self.timers.now()
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -31,6 +31,7 @@
 WAITING = 4  # requests that one connection may have sent ahead; clients send one at a time
 IDLE = 60.0  # seconds a connection is kept between requests
 HALF = 30.0  # seconds a request may take to arrive
+LINGER = 2.0  # seconds that bad input is still read after its answer
 STALL = 20.0  # seconds a client may take nothing of its answer
 HELD_BYTES = 48 * 1024 * 1024  # of requests in all connections together
 BUSY_RETRY = SECOND  # advice with the overload reply to what would go past that
@@ -94,7 +95,7 @@
 
     def check(self, now: float) -> None:
         """Guards against clients that take or send nothing for ever."""
-        if self.outbox.stalled(now, STALL):
+        if self.outbox.stalled(now, STALL) or (self.closing and now - self.active_at > LINGER):
             self.stream.close()
         elif self.call is None and not self.gatherer.idle and now - self.active_at > HALF:
             self._refuse_input(HttpError(408, "request took too long"))
@@ -183,7 +184,9 @@
         """Where a message ends is not known any more, so the connection ends with the answer."""
         headers = {"Retry-After": _seconds(BUSY_RETRY)} if error.status == 503 else None
         self.outbox.write(encode_answer(error.status, f"{error}\n".encode(), _plain(headers), False))
-        self.answered(False)
+        self.closing, self.active_at = True, asyncio.get_running_loop().time()
+        self.waiting.clear()
+        self.outbox.finish()
 
     def keeps(self, request: Request) -> bool:
         """Whether the connection goes on after the answer."""
--- a/lockspoke/wire/discovery.py
+++ b/lockspoke/wire/discovery.py
@@ -51,10 +51,10 @@
     return value
 
 
-def decode_endpoint(text: str) -> tuple[str, int]:
+def decode_endpoint(text: str, lowest: int = 1) -> tuple[str, int]:
     """A host and a port, written with a colon between them."""
     host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+    if not host or not (port.isascii() and port.isdigit() and lowest <= int(port) < 65536):
         raise ListError(f"{text!r} is not host:port")
     return host.strip("[]"), int(port)
 
--- a/lockspoke/wire/http1.py
+++ b/lockspoke/wire/http1.py
@@ -21,6 +21,7 @@
     201: "Created",
     206: "Partial Content",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     405: "Method Not Allowed",
     408: "Request Timeout",
--- a/lockspoke/wire/listener.py
+++ b/lockspoke/wire/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
@@ -95,6 +96,11 @@
             if connection.idle and connection.active_at <= before:
                 connection.stream.close()
 
+    def close_all(self) -> None:
+        """Close every connection."""
+        for connection in list(self.connections):
+            connection.stream.close()
+
     def stop(self) -> None:
         """Accept what the machine has accepted already, then no more."""
         if self._socket is None:
@@ -152,6 +158,23 @@
         flushed = asyncio.ensure_future(self.stream.write(b""))
         flushed.add_done_callback(lambda _: self.stream.close())
 
+    def finish(self) -> None:
+        """Send what was written and end the sending only.
+
+        To close with bytes unread would reset the connection, and the client might never see the answer
+        that told it why.
+        """
+        try:
+            flushed = asyncio.ensure_future(self.stream.write(b""))
+        except StreamClosedError:
+            return
+        flushed.add_done_callback(self._end_sending)
+
+    def _end_sending(self, flushed: asyncio.Future[None]) -> None:
+        if not flushed.cancelled() and flushed.exception() is None and not self.stream.closed():
+            with contextlib.suppress(OSError):
+                self.stream.socket.shutdown(socket.SHUT_WR)
+
     def stalled(self, now: float, limit: float) -> bool:
         """Whether the client has taken nothing for so long, though there was something to take."""
         return bool(self.unsent) and now - self.progress_at > limit
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,253 @@
+"""Stand-ins for what surrounds the program: workers, discovery, and a way to start it and speak to it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from lockspoke.wire.http1 import Data, Gatherer, Request, ResponseHead, ResponseParser, encode_request
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE = 30.0  # seconds a condition may take on a busy machine before a test fails
+SECOND = 1_000_000_000
+SETTINGS: dict[str, Any] = {
+    "contract": {
+        "coldShare": 0.13,
+        "warmUp": 24 * SECOND,
+        "fallMultiple": 3.0,
+        "fall": 3 * SECOND // 2,
+        "askEvery": 10 * SECOND,
+    },
+    "discovery": "subscribe",
+    "limits": {
+        "attemptsCap": 3,
+        "mayDuplicate": True,
+        "connectTimeout": SECOND,
+        "keepalive": 10 * SECOND,
+    },
+    "loadInfo": {"fields": ["util"]},
+    "profiles": [
+        {"name": "docs", "effect": "free", "aim": SECOND, "deadline": 4 * SECOND},
+        {"name": "bulk", "effect": "free", "aim": 4 * SECOND, "deadline": 12 * SECOND},
+    ],
+    "zones": ["lis-1"],
+}
+EVENTS = [
+    b'data: {"choices":[{"index":0,"delta":{"content":"%s"},"finish_reason":null}]}\n\n' % word
+    for word in (b"one ", b"two")
+]
+TAIL = (
+    b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n'
+    b'data: {"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":2,"total_tokens":11}}\n\n'
+    b"data: [DONE]\n\n"
+)
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition; one that never comes true fails the test."""
+    async with asyncio.timeout(PATIENCE):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class Server:
+    """Answers whole requests at a port that the kernel picks."""
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.seen: list[Request] = []
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def __aenter__(self) -> Any:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=512)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        gatherer = Gatherer()
+        try:
+            while data := await reader.read(65536):
+                for request in gatherer.feed(data):
+                    self.seen.append(request)
+                    await self.answer(request, writer)
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+
+Script = Callable[[asyncio.StreamWriter], Awaitable[None]]
+
+
+class FakeWorker(Server):
+    """Streams the same answer to everyone, or does what its script says."""
+
+    def __init__(self, script: Script | None = None, pause: float = 0.0) -> None:
+        super().__init__()
+        self.script = script
+        self.pause = pause
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if self.script is not None:
+            return await self.script(writer)
+        await asyncio.sleep(self.pause)
+        writer.write(HEAD + b"".join(map(chunk, [*EVENTS, TAIL])) + chunk(b""))
+        await writer.drain()
+        return None
+
+
+class FakeDiscovery(Server):
+    """Gives the list; a watch waits until it is changed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rev = 1
+        self.targets: list[dict[str, Any]] = []
+        self.changed = asyncio.Event()
+        self.raw: bytes | None = None  # sent in place of the list, once
+
+    def change(self, *workers: FakeWorker, state: str = "up") -> None:
+        self.targets = [target(worker, state) for worker in workers]
+        self.rev += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if f"from={self.rev}&" in request.head.query and self.raw is None:
+            await self.changed.wait()
+        listed = {"rev": self.rev, "all": True, "targets": self.targets}
+        body, self.raw = self.raw or json.dumps(listed).encode(), None
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+def target(worker: FakeWorker, state: str = "up") -> dict[str, Any]:
+    endpoint = f"127.0.0.1:{worker.port}"
+    return {"uid": f"s-{worker.port}", "endpoint": endpoint, "az": "lis-1", "state": state, "boot_ms": 0}
+
+
+class Program:
+    """The program itself, in a process of its own."""
+
+    def __init__(
+        self, *workers: FakeWorker, discovery: FakeDiscovery | None = None, options: Any = ()
+    ) -> None:
+        self.known = {"rev": 1, "all": True, "targets": [target(worker) for worker in workers]}
+        self.discovery = discovery.port if discovery is not None else 1
+        self.options = options
+        self.logs: list[dict[str, Any]] = []
+        self.raw: list[str] = []
+
+    async def __aenter__(self) -> Program:
+        self.folder = tempfile.TemporaryDirectory()
+        config = Path(self.folder.name, "config.json")
+        raw = {
+            "name": "t1",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": self.known,
+            "settings": SETTINGS,
+        }
+        config.write_text(json.dumps(raw))
+        env = os.environ | {
+            "NODE_CONFIG": str(config),
+            "NODE_LISTEN": "127.0.0.1:0",
+            "NODE_DISCOVERY": f"127.0.0.1:{self.discovery}",
+        }
+        command = [sys.executable, "-B", "-m", "lockspoke", *map(str, self.options)]
+        self.process = await asyncio.create_subprocess_exec(
+            *command, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+        )
+        self.reading = asyncio.ensure_future(self._read_logs())
+        await until(lambda: self.log("listening") is not None or self.process.returncode is not None)
+        assert self.process.returncode is None, self.raw
+        self.port = self.log("listening")["port"]  # type: ignore[index]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.reading
+        self.folder.cleanup()
+
+    async def _read_logs(self) -> None:
+        assert self.process.stderr is not None
+        async for line in self.process.stderr:
+            self.raw.append(line.decode())
+            if line.startswith(b"{"):
+                self.logs.append(json.loads(line))
+
+    def log(self, event: str, **fields: Any) -> dict[str, Any] | None:
+        """The first log line of an event that holds these fields."""
+        for line in self.logs:
+            if line["event"] == event and fields.items() <= line.items():
+                return line
+        return None
+
+    async def terminate(self) -> int:
+        self.process.terminate()
+        return await asyncio.wait_for(self.process.wait(), PATIENCE)
+
+
+class Client:
+    """One connection to a port of the program."""
+
+    def __init__(self, port: int) -> None:
+        self.port = port
+
+    async def __aenter__(self) -> Client:
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.port)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.writer.close()
+
+    async def ask(self, raw: bytes) -> tuple[int, dict[str, str], bytes, bool]:
+        """Status, fields, body, and whether the answer is whole."""
+        self.writer.write(raw)
+        return await asyncio.wait_for(self.answer(), PATIENCE)
+
+    async def answer(self) -> tuple[int, dict[str, str], bytes, bool]:
+        parser, head, body = ResponseParser(), None, b""
+        while True:
+            try:
+                data = await self.reader.read(65536)
+            except ConnectionError:
+                data = b""
+            for piece in parser.feed(data) if data else ():
+                if isinstance(piece, ResponseHead):
+                    head = piece
+                elif isinstance(piece, Data):
+                    body += piece.data
+                elif head is not None:
+                    return head.status, dict(head.headers.fields), body, True
+            if not data:
+                return (head.status if head else 0), dict(head.headers.fields) if head else {}, body, False
+
+
+def call_bytes(
+    number: int, deadline: int = 4000, kind: str = "docs", body: bytes = b"{}", **more: str
+) -> bytes:
+    headers = {"Host": "origin.svc", "Req-Id": f"{number:016x}", "Req-Kind": kind}
+    headers |= {"Req-Deadline-Ms": str(deadline)} | more
+    return encode_request("POST", "/v1/chat/completions?a=b", headers, body)
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,248 @@
+"""The core without a socket: workers, discovery, the clock and sinks are stand-ins."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from hillridge.interface import Outcome
+from lockspoke.memory.calls import Call, Delegation
+from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
+from lockspoke.memory.numbers import Numbers, key_number
+from lockspoke.memory.registry import Entry, Registry, RegistryUpdate, Worker
+
+from .helpers import settings
+
+
+class Sink:
+    def __init__(self) -> None:
+        self.got: list[Any] = []
+        self.waits: asyncio.Future[None] | None = None
+
+    def event(self, data: bytes) -> asyncio.Future[None] | None:
+        self.got.append(data)
+        return self.waits
+
+    def end(self) -> None:
+        self.got.append("end")
+
+    def broken(self) -> None:
+        self.got.append("broken")
+
+    def refuse(self, retry_after: int) -> None:
+        self.got.append("refused")
+
+    def fail(self) -> None:
+        self.got.append("failed")
+
+
+class World:
+    """Everything round the core, and a clock that only moves when told to."""
+
+    def __init__(self, workers: int = 2, **changes: Any) -> None:
+        self.time = 1_000 * SECOND
+        self.due: list[tuple[int, Callable[[], None]]] = []
+        self.started: list[Delegation] = []
+        self.stopped: list[Delegation] = []
+        self.forgotten: list[Worker] = []
+        self.watches: list[bool] = []
+        self.core = Core(settings(**changes), 7, Registry(Numbers(), ["z"]), self, self, self)
+        entries = tuple(Entry(f"w{i}", "ready", ("127.0.0.1", 5000 + i), "z") for i in range(workers))
+        self.core.list_changed(RegistryUpdate(1, True, entries), cached=True)
+
+    def now(self) -> int:
+        return self.time
+
+    def later(self, delay: int, callback: Callable[[], None]) -> None:
+        self.due.append((self.time + delay, callback))
+
+    def start(self, delegation: Delegation) -> None:
+        self.started.append(delegation)
+
+    def stop(self, delegation: Delegation) -> None:
+        self.stopped.append(delegation)
+
+    def forget(self, worker: Worker) -> None:
+        self.forgotten.append(worker)
+
+    def watch(self, enable: bool) -> None:
+        self.watches.append(enable)
+
+    def call(self, seconds: float = 4, **fields: Any) -> tuple[Call, Sink]:
+        sink = Sink()
+        call = Call(sink, 0, int(seconds * SECOND), "id", "POST", "/x", {}, b"{}", **fields)
+        self.core.submit(call)
+        return call, sink
+
+    def pass_time(self, span: int) -> None:
+        end = self.time + span
+        while self.due and min(when for when, _ in self.due) <= end:
+            at = min(range(len(self.due)), key=lambda i: self.due[i][0])
+            self.time, callback = max(self.time, self.due[at][0]), self.due.pop(at)[1]
+            callback()
+        self.time = end
+
+
+def test_a_stream_passes_on_as_it_comes_and_ends_once() -> None:
+    world = World()
+    call, sink = world.call()
+    (delegation,) = world.started
+    delegation.streamed(b"a")
+    delegation.streamed(b"b")
+    delegation.ended(Outcome.OK)
+    delegation.ended(Outcome.RESET)  # said twice, only the first counts
+    assert sink.got == [b"a", b"b", "end"]
+    assert not world.core.calls and call.answered
+    assert world.core.totals["served"] == 1
+
+
+def test_a_broken_stream_is_told_at_once_and_nothing_is_sent_again() -> None:
+    world = World()
+    _, sink = world.call()
+    world.started[0].streamed(b"a")
+    world.started[0].ended(Outcome.RESET)
+    world.pass_time(10 * SECOND)
+    assert sink.got == [b"a", "broken"]
+    assert len(world.started) == 1
+
+
+def test_a_failed_delegation_is_followed_by_another_elsewhere() -> None:
+    world = World()
+    _, sink = world.call()
+    world.started[0].ended(Outcome.CONNECT_FAILED)
+    assert len(world.started) == 2 and sink.got == []
+    assert world.started[0].worker is not world.started[1].worker
+
+
+def test_the_deadline_ends_what_does_not_stream_and_nothing_else() -> None:
+    world = World(workers=1)
+    (_, silent), (_, streaming) = world.call(), world.call()
+    world.started[1].streamed(b"a")
+    for _ in range(5):  # a stream that goes on has no deadline
+        world.pass_time(SECOND)
+        world.started[1].streamed(b"b")
+    assert silent.got == ["failed"] and world.stopped == [world.started[0]]
+    assert world.started[0].outcome is Outcome.TIMEOUT
+    assert "broken" not in streaming.got
+    world.started[1].ended(Outcome.OK)
+    assert streaming.got[-1] == "end" and not world.core.calls
+
+
+def test_without_workers_the_answer_is_an_overload_reply_at_once() -> None:
+    world = World(workers=0)
+    _, sink = world.call()
+    assert sink.got == ["refused"]
+
+
+def test_a_client_that_left_is_owed_nothing_but_its_delegation_runs_on() -> None:
+    world = World()
+    call, sink = world.call()
+    world.core.client_left(call)
+    world.core.client_left(call)
+    delegation = world.started[0]
+    delegation.streamed(b"a")
+    world.pass_time(2 * SECOND)
+    assert sink.got == [] and delegation.outcome is None and world.core.calls
+    delegation.ended(Outcome.OK)
+    assert sink.got == [] and not world.core.calls
+    assert world.core.totals["left"] == 1
+
+
+def test_a_silent_stream_is_given_up_so_that_its_client_can_ask_for_the_rest() -> None:
+    world = World()
+    world.core.start()
+    _, sink = world.call()
+    world.started[0].streamed(b"a")
+    world.pass_time(SILENT - SWEEP)
+    assert sink.got == [b"a"]
+    world.pass_time(3 * SWEEP)
+    assert sink.got == [b"a", "broken"] and world.stopped == [world.started[0]]
+
+
+def test_a_slow_client_does_not_count_as_a_silent_worker() -> None:
+    async def play() -> None:
+        world = World()
+        world.core.start()
+        _, sink = world.call()
+        sink.waits = asyncio.get_running_loop().create_future()
+        assert world.started[0].streamed(b"a") is sink.waits
+        world.pass_time(2 * SILENT)
+        assert sink.got == [b"a"]
+        sink.waits.set_result(None)
+        await asyncio.sleep(0)
+        world.pass_time(SILENT // 2)
+        assert sink.got == [b"a"]
+
+    asyncio.run(play())
+
+
+def test_a_fault_of_the_decisions_leaves_no_call_without_an_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    world = World()
+    world.core.start()
+
+    def broken(*_: object) -> None:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(world.core.balancer, "handle", broken)
+    _, sink = world.call(seconds=1)
+    world.pass_time(SECOND + OVERDUE + 2 * SWEEP)
+    assert sink.got == ["failed"] and not world.core.calls
+
+
+def test_a_worker_that_drains_gets_nothing_new_and_its_connections_close() -> None:
+    world = World()
+    told = RegistryUpdate(2, False, (Entry("w0", "draining", ("127.0.0.1", 5000), "z"),))
+    world.core.list_changed(told)
+    assert [worker.uid for worker in world.forgotten] == ["w0"]
+    for _ in range(6):
+        world.call()
+    assert {delegation.worker.uid for delegation in world.started} == {"w1"}
+
+
+def test_a_full_list_drops_what_it_does_not_name() -> None:
+    world = World()
+    world.core.list_changed(RegistryUpdate(3, True, (Entry("w1", "ready", ("127.0.0.1", 9), "z"),)))
+    assert {worker.uid: worker.state for worker in world.core.registry.workers.values()} == {
+        "w0": "gone",
+        "w1": "ready",
+    }
+    assert {worker.uid for worker in world.forgotten} == {"w0", "w1"}  # w1 has moved
+
+
+def test_a_delegation_that_comes_too_late_is_moot() -> None:
+    world = World()
+    call, _ = world.call()
+    world.started[0].streamed(b"a")
+    world.core._send(call.number, world.started[0].worker.number, 0)
+    assert call.delegations[1].outcome is Outcome.MOOT and len(world.started) == 1
+
+
+def test_the_first_stream_calls_the_others_off() -> None:
+    world = World()
+    call, sink = world.call()
+    other = next(w for w in world.core.registry.workers.values() if w is not world.started[0].worker)
+    world.core._send(call.number, other.number, 0)
+    world.started[1].streamed(b"a")
+    assert world.stopped == [world.started[0]] and world.started[0].outcome is Outcome.CANCELLED
+    world.started[0].streamed(b"late")
+    assert sink.got == [b"a"]
+
+
+def test_numbers_are_the_same_everywhere_and_never_shared() -> None:
+    numbers = Numbers()
+    assert numbers.worker("s-1") == Numbers().worker("s-1") != numbers.worker("s-2")
+    assert numbers.call() != numbers.call()
+    assert key_number("") == 0 != key_number("7f3a") < 1 << 64
+    numbers._taken.add(Numbers().worker("s-3"))
+    assert numbers.worker("s-3") != Numbers().worker("s-3")
+
+
+def test_the_list_is_asked_for_and_failures_are_told() -> None:
+    world = World(ask_for_list=True)
+    assert world.watches == [True]
+    world.core.list_failed()
+    world.pass_time(2000 * MS)
+    assert world.watches == [True, True]
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,244 @@
+"""The program in a process of its own, spoken to over sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import subprocess
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from lockspoke.wire.http1 import BODY_LIMIT, HEAD_LIMIT
+
+from .standins import (
+    EVENTS,
+    HEAD,
+    ROOT,
+    TAIL,
+    Client,
+    FakeDiscovery,
+    FakeWorker,
+    Program,
+    call_bytes,
+    chunk,
+    until,
+)
+
+
+def run(test: Callable[[], Awaitable[None]]) -> Callable[[], None]:
+    def wrapped() -> None:
+        asyncio.run(test())  # type: ignore[arg-type]
+
+    wrapped.__name__ = test.__name__  # type: ignore[attr-defined]
+    return wrapped
+
+
+def says(text: bytes) -> Callable[[asyncio.StreamWriter], Awaitable[None]]:
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(text)
+
+    return script
+
+
+@run
+async def test_an_answer_passes_unchanged_and_so_does_the_request() -> None:
+    async with FakeWorker() as worker, Program(worker) as program, Client(program.port) as client:
+        assert (await client.ask(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"))[0] == 200
+        for number in (1, 2):  # twice on one connection
+            status, _, body, whole = await client.ask(call_bytes(number, body=b'{"a": [1]}'))
+            assert (status, body, whole) == (200, b"".join([*EVENTS, TAIL]), True)
+        request = worker.seen[0]
+        assert (request.head.method, request.head.target) == ("POST", "/v1/chat/completions?a=b")
+        assert request.body == b'{"a": [1]}' and request.head.headers.get("req-id") == f"{1:016x}"
+        assert 0 < int(request.head.headers.get("req-deadline-ms")) <= 4000
+        assert len(worker.writers) == 1, "the connection to the worker is kept"
+        assert await program.terminate() == 0
+
+
+@run
+async def test_events_pass_as_they_come_and_a_broken_stream_ends_without_the_last_chunk() -> None:
+    go = asyncio.Event()
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(EVENTS[0]))
+        await go.wait()
+        writer.write(chunk(EVENTS[1]))
+        await writer.drain()
+        writer.close()
+
+    async with FakeWorker(script) as worker, Program(worker) as program, Client(program.port) as client:
+        client.writer.write(call_bytes(1))
+        async with asyncio.timeout(30):
+            assert EVENTS[0] in await client.reader.readuntil(EVENTS[0])
+        go.set()
+        rest = await asyncio.wait_for(client.reader.read(), 30)
+        assert EVENTS[1] in rest and b"0\r\n\r\n" not in rest
+
+
+@run
+async def test_what_a_worker_turns_away_goes_elsewhere_or_ends_as_an_overload_reply() -> None:
+    full = says(b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+    async with FakeWorker(full) as one, FakeWorker(full) as two, Program(one, two) as program:
+        async with Client(program.port) as client:
+            status, _, _, whole = await client.ask(call_bytes(1, deadline=1000))
+        assert (status, whole) == (503, True) and len(one.seen) + len(two.seen) == 3
+
+
+@run
+async def test_outcomes_follow_the_table() -> None:
+    """Each shape of answer, and what the totals say it was taken for."""
+    shapes = {
+        "error": b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",  # not said to be declined
+        "full": b"HTTP/1.1 504 Over\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n",
+        "reset": b"HTTP/1.1 200 OK\r\n",
+        "timeout": b"",
+    }
+    for outcome, text in shapes.items():
+
+        async def script(writer: asyncio.StreamWriter, text: bytes = text) -> None:
+            writer.write(text)
+            if text and b"\r\n\r\n" not in text:
+                writer.close()
+
+        async with FakeWorker(script) as worker, Program(worker) as program, Client(program.port) as client:
+            status = (await client.ask(call_bytes(1, deadline=400)))[0]
+            assert status == (503 if outcome == "full" else 502)
+            await program.terminate()
+            assert program.log("totals")[f"outcome_{outcome}"] >= 1  # type: ignore[index]
+
+
+@run
+async def test_a_worker_that_cannot_be_reached_has_not_run_anything() -> None:
+    async with FakeWorker() as worker, FakeDiscovery() as discovery:
+        discovery.change(worker)
+        program = Program(worker, discovery=discovery)
+        await worker.__aexit__()
+        async with program, Client(program.port) as client:
+            assert (await client.ask(call_bytes(1, deadline=500)))[0] == 503  # an overload reply: never ran
+            await program.terminate()
+            assert program.log("totals")["outcome_connect_failed"] >= 1  # type: ignore[index]
+
+
+@run
+async def test_a_client_that_closes_is_noticed_while_its_call_is_held() -> None:
+    async with FakeWorker(says(b"")) as worker, Program(worker) as program:
+        async with Client(program.port) as client:
+            client.writer.write(call_bytes(1, deadline=3000))
+            await until(lambda: bool(worker.seen))
+        await program.terminate()
+        assert program.log("totals")["left"] == 1  # type: ignore[index]
+
+
+BAD = {
+    b"nonsense\r\n\r\n": 400,
+    b"GET /up HTTP/1.1\r\n\r\n": 400,
+    b"GET /nowhere HTTP/1.1\r\nHost: a\r\n\r\n": 404,
+    b"PUT /up HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n": 405,
+    b"GET /v1/chat/completions HTTP/1.1\r\nHost: a\r\n\r\n": 405,
+    b"GET /up HTTP/1.1\r\nX: " + b"a" * HEAD_LIMIT: 431,
+    b"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % (BODY_LIMIT + 1): 413,
+    call_bytes(1, kind="odd"): 400,
+    call_bytes(1).replace(b"Req-Deadline-Ms: 4000", b"Req-Deadline-Ms: x"): 400,
+    call_bytes(1).replace(b"Content-Length: 2", b"Content-Length: 2\r\nContent-Length: 3"): 400,
+    call_bytes(1).replace(b"Content-Length: 2", b"Content-Length: 2\r\nTransfer-Encoding: chunked"): 400,
+}
+
+
+@run
+async def test_bad_input_reaches_no_worker_and_harms_nobody() -> None:
+    async with FakeWorker() as worker, Program(worker) as program:
+        for raw, status in BAD.items():
+            async with Client(program.port) as client:
+                assert (await client.ask(raw))[0] == status, raw[:60]
+        assert not worker.seen
+        async with Client(program.port) as client:
+            assert (await client.ask(call_bytes(1)))[0] == 200
+
+
+@run
+async def test_discovery_is_watched_without_a_pause_and_survives_malformed_answers() -> None:
+    async with FakeWorker() as old, FakeWorker() as new, FakeDiscovery() as discovery:
+        discovery.targets = [{"uid": 5}]
+        discovery.raw = b'{"rev": 2, "all": true, "targets": [{"uid": 5}]}'
+        async with Program(old, discovery=discovery) as program, Client(program.port) as client:
+            await until(lambda: program.log("discovery_failing") is not None)
+            assert (await client.ask(call_bytes(1)))[0] == 200  # the old list holds
+            assert len(old.seen) == 1
+            discovery.change(new)
+            await until(lambda: program.log("registry_changed") is not None)
+            await until(lambda: f"from={discovery.rev}&" in discovery.seen[-1].head.query)
+            assert (await client.ask(call_bytes(2)))[0] == 200
+            assert len(new.seen) == 1 and len(old.seen) == 1
+
+
+@run
+async def test_sigterm_answers_all_and_what_still_comes() -> None:
+    go = asyncio.Event()
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(EVENTS[0]))
+        await go.wait()
+        writer.write(chunk(TAIL) + chunk(b""))
+
+    async with FakeWorker(script) as worker, Program(worker) as program, Client(program.port) as client:
+        held = asyncio.ensure_future(client.ask(call_bytes(1)))
+        await until(lambda: len(worker.seen) == 1)
+        program.process.terminate()
+        await until(lambda: program.log("phase", now="draining") is not None)
+        async with Client(program.port) as late:  # the front has not noticed yet
+            coming = asyncio.ensure_future(late.ask(call_bytes(2)))
+            await until(lambda: len(worker.seen) == 2)
+            go.set()
+            for answer in (held, coming):
+                status, fields, body, whole = await answer
+                assert (status, body, whole) == (200, EVENTS[0] + TAIL, True)
+            assert fields["connection"] == "close"
+        assert await program.process.wait() == 0
+
+
+@run
+async def test_a_client_that_reads_nothing_holds_up_its_worker_and_not_the_memory() -> None:
+    sent = 0
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        nonlocal sent
+        writer.write(HEAD)
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            for _ in range(4000):
+                writer.write(chunk(b"data: " + b"x" * 16000 + b"\n\n"))
+                await asyncio.wait_for(writer.drain(), 1.0)
+                sent += 1
+
+    async with FakeWorker(script) as worker, Program(worker) as program:
+        lazy = socket.create_connection(("127.0.0.1", program.port))
+        lazy.sendall(call_bytes(1))
+        await until(lambda: sent > 0)
+        before = -1
+        while before != sent:  # until the buffers of all parties are full
+            before = sent
+            await asyncio.sleep(0.3)
+        assert sent < 2000
+        status = (ROOT / "/proc" / str(program.process.pid) / "status").read_text()
+        peak = next(int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM"))
+        assert peak < 100_000
+        lazy.close()
+        assert await program.terminate() == 0
+
+
+@pytest.mark.parametrize("raw", ["", "[]", '{"settings": {}}', '{"listen": "a"}'])
+def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Any, raw: str) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(raw)
+    done = subprocess.run(
+        [sys.executable, "-B", "-m", "lockspoke"],
+        cwd=ROOT,
+        env={"NODE_CONFIG": str(path)},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 2 and done.stderr.startswith("lockspoke: ") and done.stderr.count("\n") == 1
--- /dev/null
+++ b/tests/test_wire_fields.py
@@ -0,0 +1,137 @@
+"""Event streams, header fields and discovery's lists."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lockspoke.wire.discovery import ListError, decode_list
+from lockspoke.wire.fields import decode_call, decode_load
+from lockspoke.wire.http1 import Headers, HttpError
+from lockspoke.wire.sse import LINE_LIMIT, EventStream
+
+from .test_http1 import cut, fixed
+
+STREAM = (
+    b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
+    b'data: {"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4096}}}\r\n\n'
+    b": Srv-Load: util=0.61,lat=3\n\ndata: [DONE]\n\n"
+)
+TARGET = {"uid": "s-1", "endpoint": "127.0.0.1:5000", "az": "a", "pod_group": 3, "state": "up", "boot_ms": 5}
+
+
+@fixed
+@given(st.lists(st.integers(0)))
+def test_a_stream_cut_anywhere_reads_alike(cuts: list[int]) -> None:
+    stream = EventStream()
+    for part in cut(STREAM, cuts):
+        stream.feed(part)
+    assert (stream.events, stream.done, stream.kept_tokens) == (3, True, 4096)
+    assert stream.load == "util=0.61,lat=3"
+
+
+@fixed
+@given(st.lists(st.binary(max_size=60) | st.sampled_from([b'data: "usage"', b"\n", b'{"usage":[]}'])))
+def test_a_stream_of_garbage_harms_nothing(parts: list[bytes]) -> None:
+    stream = EventStream()
+    for part in parts:
+        stream.feed(part)
+    assert stream.kept_tokens == 0
+
+
+def test_an_endless_line_is_not_kept() -> None:
+    stream = EventStream()
+    for _ in range(8):
+        stream.feed(b"x" * LINE_LIMIT)
+    assert len(stream._rest) <= LINE_LIMIT
+
+
+def head(**changes: str) -> Headers:
+    fields = {
+        "req-id": "9b1f",
+        "req-kind": "chat",
+        "req-key": "7f3a",
+        "req-deadline-ms": "4800",
+        "req-extra": "prefix=5c0f,prompt_len=5120,prefix_len=2048,max_out=800",
+    }
+    return Headers((fields | {name.replace("_", "-"): value for name, value in changes.items()}).items())
+
+
+def test_the_fields_of_a_call() -> None:
+    call = decode_call(head())
+    assert (call.req_id, call.kind, call.deadline_ms, call.key) == ("9b1f", "chat", 4800, "7f3a")
+    assert (call.prefix, call.prompt_len, call.prefix_len, call.max_out) == ("5c0f", 5120, 2048, 800)
+    assert not call.retry and decode_call(head(req_retry="1")).retry
+    # Asking for the rest of a stream is not a retry of something that failed.
+    assert not decode_call(head(req_retry="again")).retry
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"req_id": ""},
+        {"req_kind": ""},
+        {"req_deadline_ms": "-1"},
+        {"req_deadline_ms": "soon"},
+        {"req_extra": "prompt_len=nan"},
+        {"req_extra": "prompt_len=x"},
+        {"req_id": "x" * 200},
+    ],
+)
+def test_bad_fields_are_a_400(changes: dict[str, str]) -> None:
+    with pytest.raises(HttpError) as caught:
+        decode_call(head(**changes))
+    assert caught.value.status == 400
+
+
+def test_load_reports_need_every_name() -> None:
+    assert decode_load("b=2, a=1", ("a", "b")) == (1.0, 2.0)
+    assert decode_load("a=1", ("a", "b")) == decode_load("a=x,b=1", ("a", "b")) == decode_load("", ()) == ()
+
+
+def test_lists_are_read() -> None:
+    update = decode_list(json.dumps({"rev": 4, "all": False, "targets": [TARGET]}).encode())
+    assert (update.rev, update.whole) == (4, False)
+    entry = update.entries[0]
+    assert (entry.uid, entry.endpoint, entry.cell, entry.boot_ms) == ("s-1", ("127.0.0.1", 5000), 3, 5)
+    gone = {"uid": "s-1", "state": "removed"}  # what is gone needs no address
+    assert (
+        decode_list(json.dumps({"rev": 4, "all": True, "targets": [gone]}).encode()).entries[0].state
+        == "gone"
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"uid": 5},
+        {"endpoint": "nowhere"},
+        {"endpoint": "a:0"},
+        {"boot_ms": -1},
+        {"capacity_hint": True},
+    ],
+)
+def test_malformed_lists_are_told_apart(change: dict[str, object]) -> None:
+    with pytest.raises(ListError):
+        decode_list(json.dumps({"rev": 4, "all": True, "targets": [TARGET | change]}).encode())
+
+
+@fixed
+@given(
+    st.binary(max_size=50)
+    | st.recursive(
+        st.none() | st.booleans() | st.floats() | st.text(max_size=5),
+        lambda inner: (
+            st.lists(inner) | st.dictionaries(st.sampled_from(["rev", "all", "targets", "uid"]), inner)
+        ),
+    ).map(lambda value: json.dumps(value).encode())
+)
+def test_garbage_lists_give_clean_errors_only(text: bytes) -> None:
+    try:
+        decode_list(text)
+    except ListError as error:
+        assert str(error)
