--- a/lockspoke/memory/batch_store.py
+++ b/lockspoke/memory/batch_store.py
@@ -104,6 +104,7 @@
         self.uploads: dict[str, Upload] = {}
         self.batches: dict[str, Batch] = {}
         self.keys: dict[str, tuple[str, str]] = {}  # idempotency key: (fingerprint, id)
+        self._ending: set[tuple[str, int]] = set()  # lines whose end is being written
         self.creating = asyncio.Lock()  # two requests with one key must not both create
         for name in ("files", "parts", "new"):
             (folder / name).mkdir(parents=True, exist_ok=True)
@@ -176,7 +177,7 @@
 
     def _line_ended(self, place: int, record: Record) -> None:
         batch, number, end = self.batches[record["batch"]], record["line"], End(record["end"])
-        if batch.ends[number] is not None and batch.ends[number] != End.OPEN:
+        if batch.ends[number] != End.OPEN:
             raise StoreError(f"{batch.id}: line {number} ended twice")
         batch.ends[number] = end
         batch.places[number] = place
@@ -308,7 +309,14 @@
 
     async def end_line(self, batch: Batch, line: int, end: End, out: dict[str, Any]) -> None:
         """A line has ended, once and for all; `out` is what the result file will say of it."""
-        await self._write({"op": "line", "batch": batch.id, "line": line, "end": int(end), "out": out})
+        # Before the write: a second end that stood in the journal would be there for ever.
+        if batch.ends[line] != End.OPEN or (batch.id, line) in self._ending:
+            raise StoreError(f"{batch.id}: line {line} ended twice")
+        self._ending.add((batch.id, line))
+        try:
+            await self._write({"op": "line", "batch": batch.id, "line": line, "end": int(end), "out": out})
+        finally:
+            self._ending.discard((batch.id, line))
 
     def _results(self, batch: Batch, served: bool) -> Iterator[dict[str, Any]]:
         for number, end in enumerate(batch.ends):
--- a/lockspoke/wire/batch_listener.py
+++ b/lockspoke/wire/batch_listener.py
@@ -411,6 +411,12 @@
     return Reply(raw, headers={"Idempotency-Replayed": "true"})
 
 
+def _short(head: RequestHead) -> bool:
+    """Whether a body is sure to come and to end soon."""
+    waits = "transfer-encoding" in head.headers or "expect" in head.headers
+    return not waits and int(head.headers.get("content-length", "0")) <= SEND
+
+
 class BatchConnection:
     """One client of the batch API: its requests are answered one after another."""
 
@@ -475,7 +481,10 @@
             while await body() is not None:
                 pass
         except ApiError as error:
-            # What was not read of the body would be taken for a next request.
+            # What was not read of the body would be taken for a next request: read it if it is short.
+            if not ended and _short(head):
+                while await body() is not None:
+                    pass
             keep = keep and ended
             await self._error(error, keep)
         except HttpError as error:
