--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -39,10 +39,9 @@
     connect_timeout: int
     keepalive: int
 
-    @property
-    def connections(self) -> int:
+    def connections(self, others: int = 0) -> int:
         """The connections that each side, clients and workers, may take of the descriptors."""
-        return max(8, (self.sockets - OWN_SOCKETS) // 2)
+        return max(8, (self.sockets - OWN_SOCKETS - others) // 2)
 
 
 def _dig(raw: Any, path: str, default: Any) -> Any:
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -70,19 +70,18 @@
         self.phase = Phase.STARTING
         self.timers = LoopTimers()
         self.registry = Registry(Numbers(), config.zones)
+        most = config.connections(0 if batch is None else batch.connections)
         self.workers = WorkerConnections(
             config.load_names,
             config.connect_timeout,
             config.keepalive,
-            config.connections,
+            most,
             self.timers.now,
         )
         self.watch = _watch(config, batch)
         self.core = Core(config.settings, config.seed, self.registry, self.timers, self.workers, self.watch)
         self.watch.core = self.core
-        self.clients = ClientFront(
-            self.core, config.classes, config.connections, lambda: self.phase is Phase.READY
-        )
+        self.clients = ClientFront(self.core, config.classes, most, lambda: self.phase is Phase.READY)
         self.batch = None if batch is None else BatchSide(batch, config, self.core)
         self._stop = asyncio.Event()
 
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -60,10 +60,14 @@
         self.live_refused_at = 0  # when a call that somebody waits for was last turned away
         self._events: list[api.Event] = []
         self._busy = False
+        self._asks = settings.ask_for_list
 
     def start(self) -> None:
         """Begin to look after streams and overdue answers."""
         self._sweep()
+        if not self._asks:
+            # The decisions expect the list to come by itself; on sockets it never does unasked.
+            self.discovery.watch(True)
 
     # What fronts and discovery say
 
@@ -107,6 +111,8 @@
         """A call for the list has failed; the old list still holds."""
         self.totals["list_failed"] += 1
         self._post(api.ListUpdate(api.ListKind.FAILED))
+        if not self._asks:
+            self.timers.later(SECOND, lambda: self.discovery.watch(True))
 
     def live_held(self) -> bool:
         """Whether a call that somebody waits for is held, since no worker has room for it."""
--- a/lockspoke/wire/batch_listener.py
+++ b/lockspoke/wire/batch_listener.py
@@ -486,7 +486,7 @@
                 while await body() is not None:
                     pass
             keep = keep and ended
-            await self._error(error, keep)
+            await self._error(error, keep, head.method)
         except HttpError as error:
             keep = False
             await self._error(ApiError(error.status, str(error)), keep)
@@ -497,16 +497,20 @@
             keep = False
             await self._error(ApiError(500, "The server failed to answer your request."), keep)
         else:
-            await (self._send(reply, keep) if isinstance(reply, Content) else self._json(reply, keep))
+            await (
+                self._send(reply, keep)
+                if isinstance(reply, Content)
+                else self._json(reply, keep, head.method)
+            )
         return keep
 
-    async def _json(self, reply: Reply, keep: bool) -> None:
+    async def _json(self, reply: Reply, keep: bool, method: str = "GET") -> None:
         headers = {"Content-Type": "application/json", **reply.headers}
         body = json.dumps(reply.raw, ensure_ascii=False).encode()
-        await self.stream.write(encode_answer(reply.status, body, headers, keep))
+        await self.stream.write(encode_answer(reply.status, body, headers, keep, method))
 
-    async def _error(self, error: ApiError, keep: bool) -> None:
-        await self._json(Reply(error.body(), error.status), keep)
+    async def _error(self, error: ApiError, keep: bool, method: str = "GET") -> None:
+        await self._json(Reply(error.body(), error.status), keep, method)
 
     async def _send(self, content: Content, keep: bool) -> None:
         """Send a file piece by piece, as fast as the client takes it and no faster."""
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -177,7 +177,8 @@
     ) -> None:
         """Give a whole answer in one piece."""
         keep = self.keeps(request)
-        self.outbox.write(encode_answer(status, f"{text}\n".encode(), _plain(headers), keep))
+        body = f"{text}\n".encode()
+        self.outbox.write(encode_answer(status, body, _plain(headers), keep, request.head.method))
         self.answered(keep)
 
     def _refuse_input(self, error: HttpError) -> None:
--- a/lockspoke/wire/http1.py
+++ b/lockspoke/wire/http1.py
@@ -419,12 +419,15 @@
     return f"HTTP/1.1 {status} {reason}\r\n{_fields(headers)}\r\n".encode("latin-1")
 
 
-def encode_answer(status: int, body: bytes, headers: Mapping[str, str], keep_alive: bool) -> bytes:
+def encode_answer(
+    status: int, body: bytes, headers: Mapping[str, str], keep_alive: bool, method: str = "GET"
+) -> bytes:
     """A whole answer with a sized body."""
     sized = {**headers, "Content-Length": str(len(body))}
     if not keep_alive:
         sized["Connection"] = "close"
-    return encode_head(status, sized) + body
+    # A body after the answer to HEAD would be taken for the next answer.
+    return encode_head(status, sized) + (b"" if method == "HEAD" else body)
 
 
 def encode_chunk(data: bytes) -> bytes:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -246,3 +246,12 @@
     world.core.list_failed()
     world.pass_time(2000 * MS)
     assert world.watches == [True, True]
+
+
+def test_where_the_list_is_said_to_come_by_itself_it_is_watched_all_the_same() -> None:
+    world = World()
+    world.core.start()
+    assert world.watches == [True]
+    world.core.list_failed()
+    world.pass_time(2 * SECOND)
+    assert world.watches == [True, True]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -156,6 +156,9 @@
                 assert (await client.ask(raw))[0] == status, raw[:60]
         assert not worker.seen
         async with Client(program.port) as client:
+            # An answer to HEAD has no body: one would be read as the answer to what follows.
+            client.writer.write(b"HEAD /up HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b"405" in await client.reader.readuntil(b"\r\n\r\n")
             assert (await client.ask(call_bytes(1)))[0] == 200
 
 
