A refused client is told when to come back: half a second or when a replica has room

Seen: Refuse always said 0 (policy.py, _answer), so the overload reply carried no Retry-After and clients came back by their own 66 to 530 ms backoff, into the same jam.

--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -40,6 +40,7 @@
 HOME_SHARE = 0.5  # of a mean replica's requests: as many as one beginning may bring to one of its homes
 RECENT = 64  # requests by which a beginning's share of the traffic is judged
 FULL_PAUSE = SECOND // 10  # before a full replica is asked again: at once, it would only refuse again
+COME_BACK = SECOND // 2  # the least that a refused client is told to wait: sooner, it meets the same jam
 STUCK = 4  # waiting requests that may fail to find a place before the rest of the line is left for later
 FLOOD = 1.5  # times the mean of what tenants were sent against their shares: past it they wait behind others
 LONGEST_NAP = 60 * SECOND  # timers are cut to it: a gateway may not know longer ones
@@ -77,6 +78,10 @@
             self.trial = None
         return self.state
 
+    def shut_until(self) -> int:
+        """When it half-opens; 0 unless it is open."""
+        return self.last_failure + self.recovery if self.state is State.OPEN else 0
+
     def succeeded(self, attempt: Attempt) -> None:
         """A first token, or an answer without one. Only a trial's own success counts when not closed."""
         if self.state is State.CLOSED:
@@ -265,9 +270,14 @@
 
     def _answer(self, number: int, request: Request) -> None:
         ran = any(attempt.maybe_ran for attempt in request.attempts)  # then a retry might do harm
-        self.out.append(api.Fail(number) if ran else api.Refuse(number))
+        self.out.append(api.Fail(number) if ran else api.Refuse(number, self._come_back()))
         self._close(number, request)
 
+    def _come_back(self) -> int:
+        """How long until some replica may take a request: told to the client, who is never held for it."""
+        room = [max(replica.full_until, replica.breaker.shut_until()) for replica in self.ready]
+        return max(COME_BACK, min(room, default=self.now + RECOVERY) - self.now)
+
     def _first_token(self, event: api.FirstToken) -> None:
         request = self.requests.get(event.request)
         if request is not None and event.attempt < len(request.attempts):
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -6,6 +6,7 @@
 
 from hillridge import interface as api
 from hillridge.policy import (
+    COME_BACK,
     FAILURE_THRESHOLD,
     FIRST_CEILING,
     LONGEST_RECOVERY,
@@ -197,3 +198,18 @@
         assert world.balancer.replicas[1].breaker.state is State.CLOSED
         world.end(number, api.Outcome.CONNECT_FAILED)
     assert world.balancer.replicas[1].breaker.state is State.OPEN
+
+
+def test_a_refused_client_is_told_when_a_replica_may_have_room() -> None:
+    """Sooner it would meet the same jam; and it is told at once, never held until then."""
+    world = World(replicas=())
+    assert world.arrive(1)[0] == api.Refuse(1, RECOVERY)
+    world = World(replicas=(1,))
+    for request in range(1, 6):
+        actions = world.arrive(request)
+        if world.sent_to(actions):
+            actions = world.end(request, api.Outcome.CONNECT_FAILED)
+    refused = [action for action in actions if isinstance(action, api.Refuse)]
+    assert [action.retry_after for action in refused] == [RECOVERY]
+    world.now += RECOVERY - COME_BACK // 2
+    assert world.arrive(9)[0] == api.Refuse(9, COME_BACK)
