Guards at the edges: client bound, store lock, twice-sent fields, expired uploads

Found by a test of the descriptor bound (listener.py): at the bound the listener closed connections that had only just been accepted, whose first request was on its way, and a call more than the workers' share came in and was refused as MOOT. Now only connections idle for 0.25 s make room, the rest waits in the machine's queue, and clients hold one less than workers. Ruled out: the decisions' ceilings.

--- a/lockspoke/lifecycle/batch.py
+++ b/lockspoke/lifecycle/batch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 import tomllib
 from collections.abc import Mapping
@@ -22,6 +23,7 @@
 from .config import Config, ConfigError
 
 MB = 1024 * 1024
+TEND = 60.0  # seconds between two looks for uploads whose time is over
 DEFAULTS: dict[str, Any] = {
     "listen": "",
     "store": "",
@@ -114,10 +116,21 @@
         host, port = self.front.listener.listen(self.config.listen)
         log.info("batch_listening", host=host, port=port, batches=len(self.store.batches))
         self.runner.start()
+        self._tending = asyncio.ensure_future(self._tend())
+
+    async def _tend(self) -> None:
+        while True:
+            try:
+                async with self.store.creating:
+                    await self.store.expire_uploads()
+            except StoreError as error:
+                log.error("store_failing", error=str(error))
+            await asyncio.sleep(TEND)
 
     async def stop(self) -> None:
         """Begin no line any more, and store the end of those that are out."""
         self.front.draining = True
+        self._tending.cancel()
         await self.runner.stop()
         self.front.listener.stop()
         self.front.listener.close_all()
--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -100,7 +101,8 @@
         listen=decode_endpoint(environment.get("NODE_LISTEN") or str(raw.get("listen", "")), 0),
         discovery=None if not discovery else decode_endpoint(discovery),
         seed=_seed(raw.get("seed", "0")),
-        sockets=_whole(raw, "limits.sockets", 1024),
+        # The system's own limit may be lower: past it, accepting would fail and be tried for ever.
+        sockets=min(_whole(raw, "limits.sockets", 1024), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
         known=None if known is None else read_list(known),
         settings=decode_settings(json.dumps(settings).encode()),
         classes={name: index for index, name in enumerate(names)},
--- a/lockspoke/lifecycle/logs.py
+++ b/lockspoke/lifecycle/logs.py
@@ -8,10 +8,20 @@
 import structlog
 
 
+class _Passed(logging.Handler):
+    """Brings what libraries log, such as exceptions in callbacks, into the same form."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Pass a record on."""
+        structlog.get_logger().error(
+            "library_error", source=record.name, text=record.getMessage(), exc_info=record.exc_info
+        )
+
+
 def start_logging() -> None:
     """Set structlog up for the whole program."""
-    # Tornado's own lines about connections that peers cut would be a line a request.
-    logging.getLogger("tornado").setLevel(logging.CRITICAL)
+    # Below that, Tornado tells of every connection that a peer cut: it would be a line a request.
+    logging.basicConfig(level=logging.ERROR, handlers=[_Passed()])
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -81,7 +81,8 @@
         self.watch = _watch(config, batch)
         self.core = Core(config.settings, config.seed, self.registry, self.timers, self.workers, self.watch)
         self.watch.core = self.core
-        self.clients = ClientFront(self.core, config.classes, most, lambda: self.phase is Phase.READY)
+        # The listener holds one past its bound while it looks for room; each call needs a worker's place.
+        self.clients = ClientFront(self.core, config.classes, most - 1, lambda: self.phase is Phase.READY)
         self.batch = None if batch is None else BatchSide(batch, config, self.core)
         self._stop = asyncio.Event()
 
--- a/lockspoke/memory/batch_store.py
+++ b/lockspoke/memory/batch_store.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any, BinaryIO
 
-from .journal import Journal, Record, StoreError
+from .journal import Journal, Record, StoreError, sync_folder
 
 
 class End(IntEnum):
@@ -199,11 +199,7 @@
             with source.open("rb") as file:
                 os.fsync(file.fileno())
             source.rename(target)
-            folder = os.open(target.parent, os.O_RDONLY)
-            try:
-                os.fsync(folder)
-            finally:
-                os.close(folder)
+            sync_folder(target.parent)
 
         try:
             await asyncio.get_running_loop().run_in_executor(self.executor, settle)
@@ -290,6 +286,12 @@
         await self._write({"op": "upload_status", "id": upload.id, "status": status})
         self._drop_parts(upload)
 
+    async def expire_uploads(self) -> None:
+        """Give up uploads whose time is over: their parts would stay for ever."""
+        for upload in list(self.uploads.values()):
+            if upload.status == "pending" and self.now() >= upload.expires_at:
+                await self.cancel_upload(upload, "expired")
+
     def _drop_parts(self, upload: Upload) -> None:
         for part in upload.parts:
             (self.folder / "parts" / part).unlink(missing_ok=True)
--- a/lockspoke/memory/journal.py
+++ b/lockspoke/memory/journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import json
 import os
 import zlib
@@ -38,6 +39,15 @@
     return record if isinstance(record, dict) else None
 
 
+def sync_folder(folder: Path) -> None:
+    """Make sure that new names in a folder outlast a crash."""
+    number = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(number)
+    finally:
+        os.close(number)
+
+
 class Journal:
     """Records in one file. Those that wait together are written and fsynced together."""
 
@@ -48,6 +58,13 @@
         self._waiting: list[tuple[bytes, asyncio.Future[int]]] = []
         self._flusher: asyncio.Task[None] | None = None
         self._file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        try:
+            # Guards against a second program on the same store: both would answer the same lines.
+            fcntl.flock(self._file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._file)
+            raise StoreError(f"{path}: another program uses this store") from None
+        sync_folder(path.parent)
 
     def load(self) -> Iterator[tuple[int, Record]]:
         """Every record with its place. A torn tail, left by a crash amid a write, is cut off."""
--- a/lockspoke/wire/batch_lines.py
+++ b/lockspoke/wire/batch_lines.py
@@ -78,7 +78,7 @@
         """The call for a line, whatever stream or none it asked for: workers stream, the front assembles."""
         line = self._read(batch, place)
         prompt = measure(line.body)
-        body = {**line.body, "stream": True}
+        body = {**line.body, "stream": True, "stream_options": {"include_usage": True}}
         prefix = format(key_number(prompt.prefix), "016x") if prompt.prefix else ""
         extra = f"prompt_len={prompt.tokens:.0f},prefix_len={prompt.prefix_tokens:.0f}"
         extra += f",max_out={prompt.max_tokens:.0f}" + (f",prefix={prefix}" if prefix else "")
--- a/lockspoke/wire/batch_listener.py
+++ b/lockspoke/wire/batch_listener.py
@@ -130,6 +130,7 @@
     def sweep(self) -> None:
         """Close idle connections, and those whose client neither sends nor takes anything."""
         self.listener.close_idle(IDLE)
+        self.listener.reclaim()
         before = asyncio.get_running_loop().time() - SLOW
         for connection in list(self.listener.connections):
             if not connection.idle and connection.active_at < before:
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -15,6 +15,7 @@
 from .fields import decode_call
 from .http1 import (
     Gatherer,
+    Headers,
     HttpError,
     Request,
     encode_answer,
@@ -27,6 +28,7 @@
 SECOND = 1_000 * MS
 CALLS_PATH = "/v1/chat/completions"
 READY_PATH = "/up"
+HOST = "origin.svc"  # told to workers where an HTTP/1.0 client named none
 METHODS = {CALLS_PATH: "POST", READY_PATH: "GET"}
 WAITING = 4  # requests that one connection may have sent ahead; clients send one at a time
 IDLE = 60.0  # seconds a connection is kept between requests
@@ -55,6 +57,7 @@
         """Close connections that stand idle, stalled, or amid a request for too long."""
         now = asyncio.get_running_loop().time()
         self.listener.close_idle(IDLE)
+        self.listener.reclaim()
         for connection in list(self.listener.connections):
             assert isinstance(connection, ClientConnection)
             connection.check(now)
@@ -160,7 +163,7 @@
             req_id=fields.req_id,
             method=head.method,
             target=head.target,
-            headers={name: value for name, value in head.headers.fields if name not in NOT_PASSED},
+            headers=_passed_on(head.headers),
             body=request.body,
             session=key_number(fields.key),
             prefix=key_number(fields.prefix),
@@ -253,6 +256,13 @@
         self.connection.whole(self.request, 502, "failed")
 
 
+def _passed_on(headers: Headers) -> dict[str, str]:
+    """What a worker is told: not what concerns this connection alone."""
+    named = {word.strip().lower() for value in headers.all("connection") for word in value.split(",")}
+    passed = {name: value for name, value in headers.fields if name not in NOT_PASSED | named}
+    return {"host": HOST, **passed}
+
+
 def _plain(headers: Mapping[str, str] | None) -> dict[str, str]:
     return {"Content-Type": "text/plain; charset=utf-8", **(headers or {})}
 
--- a/lockspoke/wire/fields.py
+++ b/lockspoke/wire/fields.py
@@ -46,6 +46,10 @@
 
 def decode_call(headers: Headers) -> CallFields:
     """Read the fields of a call; what is missing or out of range is a 400."""
+    names = [name for name, _ in headers.fields if name.startswith("req-")]
+    if len(set(names)) != len(names):
+        # Guards against two readers taking different ones of two values.
+        raise HttpError(400, "a Req- field came twice")
     deadline = headers.get("req-deadline-ms")
     if not (deadline.isascii() and deadline.isdigit() and len(deadline) <= 9):
         raise HttpError(400, "Req-Deadline-Ms is missing or bad")
--- a/lockspoke/wire/listener.py
+++ b/lockspoke/wire/listener.py
@@ -14,7 +14,7 @@
 
 BACKLOG = 1024
 READ = 16 * 1024
-ACCEPTS = 64  # at a time, so that those already here get their turn
+FRESH = 0.25  # seconds in which a new connection does not count as idle
 
 log = structlog.get_logger()
 
@@ -54,17 +54,27 @@
         return host, port
 
     def _resume(self) -> None:
-        if self._socket is not None and self._remove is None and self._has_room():
+        if self._socket is not None and self._remove is None and self._open() <= self.most:
             self._remove = add_accept_handler(self._socket, self._accepted)
 
-    def _has_room(self) -> bool:
-        if len(self.connections) >= self.most:
-            # A client whose idle connection closes opens another; one in the backlog just waits.
-            idle = [one for one in self.connections if one.idle]
-            if idle:
-                min(idle, key=lambda one: one.active_at).stream.close()
-                return True
-        return len(self.connections) < self.most
+    def _open(self) -> int:
+        return sum(not one.stream.closed() for one in self.connections)
+
+    def _make_room(self) -> bool:
+        """Close the connection that is idle for longest: its client just opens another one."""
+        # Not one that has come this moment: its first request may be on its way.
+        before = asyncio.get_running_loop().time() - FRESH
+        idle = [
+            one for one in self.connections if one.idle and one.active_at < before and not one.stream.closed()
+        ]
+        if idle:
+            min(idle, key=lambda one: one.active_at).stream.close()
+        return bool(idle)
+
+    def reclaim(self) -> None:
+        """At the bound, look again for a connection that has become idle."""
+        if self._socket is not None and self._remove is None and self._open() > self.most:
+            self._make_room()
 
     def _accepted(self, accepted: socket.socket, _: object) -> None:
         self.last_accept = asyncio.get_running_loop().time()
@@ -76,7 +86,8 @@
         task = asyncio.ensure_future(connection.run())
         self._tasks.add(task)
         task.add_done_callback(lambda done: self._ended(connection, done))
-        if not self._has_room() and self._remove is not None:
+        if self._open() > self.most and not self._make_room() and self._remove is not None:
+            # One past the bound and none idle: what comes next waits in the machine's queue.
             log.warning("clients_at_limit", connections=len(self.connections))
             self._remove()
             self._remove = None
@@ -109,7 +120,7 @@
             self._remove()
             self._remove = None
         # A request may already be written to a connection that waits in the backlog: it is ours.
-        while len(self.connections) < self.most:
+        while self._open() <= self.most:
             try:
                 accepted, address = self._socket.accept()
             except OSError:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -65,7 +65,7 @@
     """Answers whole requests at a port that the kernel picks."""
 
     def __init__(self) -> None:
-        self.port = 0
+        self.port = self.closed = 0
         self.seen: list[Request] = []
         self.writers: list[asyncio.StreamWriter] = []
 
@@ -90,6 +90,7 @@
         except ConnectionError:
             pass
         finally:
+            self.closed += 1
             writer.close()
 
     async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
@@ -149,8 +150,15 @@
     """The program itself, in a process of its own."""
 
     def __init__(
-        self, *workers: FakeWorker, discovery: FakeDiscovery | None = None, options: Any = ()
+        self,
+        *workers: FakeWorker,
+        discovery: FakeDiscovery | None = None,
+        options: Any = (),
+        sockets: int = 1024,
+        keepalive: int = 10 * SECOND,
     ) -> None:
+        self.sockets = sockets
+        self.keepalive = keepalive
         self.known = {"rev": 1, "all": True, "targets": [target(worker) for worker in workers]}
         self.discovery = discovery.port if discovery is not None else 1
         self.options = options
@@ -163,9 +171,9 @@
         raw = {
             "name": "t1",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": self.known,
-            "settings": SETTINGS,
+            "settings": SETTINGS | {"limits": SETTINGS["limits"] | {"keepalive": self.keepalive}},
         }
         config.write_text(json.dumps(raw))
         env = os.environ | {
--- a/tests/test_batch_store.py
+++ b/tests/test_batch_store.py
@@ -38,12 +38,17 @@
     async def write() -> list[int]:
         journal = journal_at(path)
         assert list(journal.load()) == []
-        return list(await asyncio.gather(*(journal.append({"n": n, "é": "x" * 5000}) for n in range(5))))
+        places = await asyncio.gather(*(journal.append({"n": n, "é": "x" * 5000}) for n in range(5)))
+        journal.close()
+        return list(places)
 
     places = asyncio.run(write())
     whole = path.read_bytes()
+    journal = None
     for lost in (1, 2, 4000):
         path.write_bytes(whole + whole[: places[1]][:-lost])
+        if journal is not None:
+            journal.close()
         journal = journal_at(path)
         assert [(at, record["n"]) for at, record in journal.load()] == list(
             zip(places, range(5), strict=True)
@@ -60,6 +65,7 @@
     async def write() -> None:
         journal = journal_at(path)
         await asyncio.gather(*(journal.append({"n": n}) for n in range(3)))
+        journal.close()
 
     asyncio.run(write())
     data = bytearray(path.read_bytes())
@@ -75,7 +81,9 @@
     path = Path("/dev/shm") / "lockspoke-garbage"
     path.write_bytes(data)
     try:
-        assert list(journal_at(path).load()) == []
+        journal = journal_at(path)
+        assert list(journal.load()) == []
+        journal.close()
     finally:
         path.unlink()
 
@@ -95,6 +103,7 @@
             with pytest.raises(StoreError):
                 await journal.append({"n": 2})
         await journal.append({"n": 3})
+        journal.close()
 
     asyncio.run(play())
     assert [record["n"] for _, record in journal_at(tmp_path / "j").load()] == [1, 3]
@@ -178,7 +187,7 @@
         assert batch.status == "completed" and len(bench.world.started) == 5
         assert bench.results(batch) == {f"c{n}": "served" for n in range(5)}
         sent = json.loads(bench.world.started[0].call.body or b"{}")
-        assert sent in ({}, LINE["body"] | {"stream": True})
+        assert sent in ({}, LINE["body"] | {"stream": True, "stream_options": {"include_usage": True}})
 
     play(bench, test)
 
@@ -311,6 +320,9 @@
         await begin()  # and then nothing is closed in good order
 
     asyncio.run(crash())
+    with pytest.raises(StoreError):  # two programs on one store would both answer its lines
+        BatchStore(tmp_path, lambda: 0.0)
+    first.store.journal.close()  # as the system does for a program that was killed
     second = Bench(tmp_path, concurrency=3)
 
     async def test() -> None:
@@ -347,3 +359,22 @@
     batchless = bench.runner
     batchless.stopping = True  # no line is begun
     await test()
+
+
+def test_uploads_expire_and_their_parts_go(tmp_path: Path) -> None:
+    bench = Bench(tmp_path)
+
+    async def test() -> None:
+        fields = {"filename": "a", "purpose": "batch", "bytes": 3, "mime_type": "text/plain"}
+        upload = await bench.store.add_upload("", "", 60, **fields)
+        path, file = bench.store.scratch()
+        with file:
+            file.write(b"abc")
+        part = await bench.store.add_part(upload, path, "", "")
+        await bench.store.expire_uploads()
+        assert upload.status == "pending" and (tmp_path / "parts" / part).read_bytes() == b"abc"
+        bench.clock += 61
+        await bench.store.expire_uploads()
+        assert upload.status == "expired" and not list((tmp_path / "parts").iterdir())
+
+    play(bench, test)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,6 +18,7 @@
     EVENTS,
     HEAD,
     ROOT,
+    SECOND,
     TAIL,
     Client,
     FakeDiscovery,
@@ -135,6 +136,7 @@
         assert program.log("totals")["left"] == 1  # type: ignore[index]
 
 
+UP = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
 BAD = {
     b"nonsense\r\n\r\n": 400,
     b"GET /up HTTP/1.1\r\n\r\n": 400,
@@ -234,6 +236,39 @@
         assert await program.terminate() == 0
 
 
+@run
+async def test_clients_past_the_limit_get_the_place_of_an_idle_one_or_wait() -> None:
+    go = asyncio.Event()
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(EVENTS[0]))
+        await go.wait()
+        writer.write(chunk(TAIL) + chunk(b""))
+
+    async with contextlib.AsyncExitStack() as stack:
+        worker = await stack.enter_async_context(FakeWorker(script))
+        program = await stack.enter_async_context(Program(worker, sockets=70))  # room for 8 clients
+        idle = [await stack.enter_async_context(Client(program.port)) for _ in range(7)]
+        assert [(await one.ask(UP))[0] for one in idle] == [200] * 7
+        await asyncio.sleep(0.3)  # a connection that has come this moment does not count as idle
+        asking = [await stack.enter_async_context(Client(program.port)) for _ in range(10)]
+        answers = [asyncio.ensure_future(one.ask(call_bytes(n))) for n, one in enumerate(asking)]
+        await until(lambda: len(worker.seen) == 8)
+        assert program.log("clients_at_limit") is not None
+        go.set()  # the others have waited in the machine's queue for a place
+        assert [(await answer)[0] for answer in answers] == [200] * 10
+
+
+@run
+async def test_idle_connections_to_workers_close_before_the_worker_would() -> None:
+    async with FakeWorker() as worker, Program(worker, keepalive=SECOND) as program:
+        async with Client(program.port) as client:
+            assert (await client.ask(call_bytes(1)))[0] == 200
+            await until(lambda: worker.closed == 1)
+            assert (await client.ask(call_bytes(2)))[0] == 200
+        assert len(worker.writers) == 2
+
+
 @pytest.mark.parametrize("raw", ["", "[]", '{"settings": {}}', '{"listen": "a"}'])
 def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Any, raw: str) -> None:
     path = tmp_path / "config.json"
--- a/tests/test_wire_fields.py
+++ b/tests/test_wire_fields.py
@@ -87,6 +87,12 @@
     assert caught.value.status == 400
 
 
+def test_a_field_that_came_twice_is_refused() -> None:
+    twice = Headers([*head().fields, ("req-id", "other")])
+    with pytest.raises(HttpError):
+        decode_call(twice)
+
+
 def test_load_reports_need_every_name() -> None:
     assert decode_load("b=2, a=1", ("a", "b")) == (1.0, 2.0)
     assert decode_load("a=1", ("a", "b")) == decode_load("a=x,b=1", ("a", "b")) == decode_load("", ()) == ()
