Batches: ends without a run and waiting lines are bounded

Seen on reading batch_runner.py against a 50,000-line file: a cancel made 50,000 tasks run in one turn of the loop (_end_overdue), each reading its line from the file, and a long overload set every line of a file polling for another try (_wait_turn). Both would hold up live calls.

--- a/lockspoke/memory/batch_runner.py
+++ b/lockspoke/memory/batch_runner.py
@@ -20,6 +20,8 @@
 LOOK = 0.05  # seconds between two looks for room while live calls go first
 RETRY = 1.0  # seconds before another try where nobody said how long
 LONGEST_RETRY = 15.0
+WAITING = 2  # times the concurrency: lines out or waiting for another try, before new ones hold back
+ENDING = 64  # lines ended without a run at a time: each reads its file, and live calls need the loop
 LIVE_PAUSE = SECOND  # after a live call was turned away, no line begins for so long
 
 log = structlog.get_logger()
@@ -151,6 +153,8 @@
         self.tries = tries
         self.now = now
         self.running = 0
+        self.waiting = 0  # lines that wait for another try
+        self.ending = 0  # lines whose end without a run is being stored
         self.runs: deque[_Run] = deque()
         self.stopping = False
         self._wake = asyncio.Event()
@@ -249,7 +253,9 @@
     async def _dispatch(self) -> None:
         while True:
             self._end_overdue()
-            while self.runs and self._may_begin():
+            # Guards against a long overload that would set every line of a file waiting.
+            most = WAITING * self.concurrency
+            while self.runs and self.running + self.waiting < most and self._may_begin():
                 run = self.runs[0]
                 self.runs.rotate(-1)  # batches take turns: a long one does not shut out a short one
                 line = None if run.batch.status == "cancelling" else run.take()
@@ -280,16 +286,21 @@
                 ended = End.CANCELLED
             elif self.now() >= run.batch.expires_at:
                 ended = End.EXPIRED
-            while ended is not None and (line := run.take()) is not None:
+            while ended is not None and self.ending < ENDING and (line := run.take()) is not None:
                 self._end_unrun(run, line, ended)
-            while run.due and run.due[0][0] <= self.now():
+            while run.due and run.due[0][0] <= self.now() and self.ending < ENDING:
                 _, line = heapq.heappop(run.due)
                 if run.batch.ends[line] == End.OPEN and line not in run.active:
                     self._end_unrun(run, line, End.EXPIRED)
 
     def _end_unrun(self, run: _Run, line: int, end: End) -> None:
+        async def store() -> None:
+            await self._ended(run, line, end, Answer("failed"))
+            self.ending -= 1
+
         run.active.add(line)
-        self._task(self._ended(run, line, end, Answer("failed")))
+        self.ending += 1
+        self._task(store())
 
     def _begin(self, run: _Run, line: int) -> None:
         run.active.add(line)
@@ -332,6 +343,13 @@
     async def _wait_turn(self, run: _Run, line: int, retry_after: int, refusals: int) -> bool:
         """Leave the running until another try is in order; False if the program stops before."""
         self._leave()
+        self.waiting += 1
+        try:
+            return await self._turn(run, line, retry_after, refusals)
+        finally:
+            self.waiting -= 1
+
+    async def _turn(self, run: _Run, line: int, retry_after: int, refusals: int) -> bool:
         # As long as the overload reply said, or longer each time where it said nothing.
         wait = retry_after / SECOND or min(LONGEST_RETRY, RETRY * 2 ** min(8, max(0, refusals - 1)))
         until = self.now() + wait
--- a/tests/test_batch_store.py
+++ b/tests/test_batch_store.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from hillridge.interface import Outcome
-from lockspoke.memory.batch_runner import LIVE_PAUSE, BatchRunner
+from lockspoke.memory.batch_runner import ENDING, LIVE_PAUSE, BatchRunner
 from lockspoke.memory.batch_store import Batch, BatchStore, End
 from lockspoke.memory.core import SECOND
 from lockspoke.memory.journal import Journal, StoreError
@@ -378,3 +378,42 @@
         assert upload.status == "expired" and not list((tmp_path / "parts").iterdir())
 
     play(bench, test)
+
+
+def test_a_cancel_of_a_long_file_leaves_the_loop_to_others(tmp_path: Path) -> None:
+    """Thousands of ends at once would hold up live calls: they are written a few at a time."""
+    bench = Bench(tmp_path, concurrency=1)
+
+    async def test() -> None:
+        batch = await bench.batch(*lines(100))
+        await until(lambda: len(bench.out()) == 1)
+        await bench.store.set_status(batch, "cancelling")
+        bench.runner.poke()
+        most = 0
+        while batch.counts.get(End.CANCELLED, 0) < 99:
+            most = max(most, bench.runner.ending)
+            await asyncio.sleep(0)
+        assert 0 < most <= ENDING
+        bench.serve(bench.out()[0])
+        await until(lambda: batch.final)
+        assert len(bench.results(batch)) == 100
+
+    play(bench, test)
+
+
+def test_a_long_overload_sets_a_few_lines_waiting_and_not_the_whole_file(tmp_path: Path) -> None:
+    bench = Bench(tmp_path, concurrency=2)
+
+    async def test() -> None:
+        batch = await bench.batch(*lines(50))
+        for _ in range(6):
+            await asyncio.sleep(0.06)
+            for delegation in bench.out():
+                delegation.outcome, delegation.call.answered = Outcome.FULL, True
+                delegation.call.sink.refuse(60 * SECOND)
+        assert bench.runner.waiting == 4 and len(bench.world.started) == 4
+        await bench.store.set_status(batch, "cancelling")
+        await until(lambda: batch.final)
+        assert set(bench.results(batch).values()) == {"batch_cancelled"}
+
+    play(bench, test)
