Bytes held for a call are given back when its client leaves

Seen on reading clients.py and shown by test_clients.py before the change: run() gave back the bytes of a connection that ended while its call was still set, and _hold() counted that call's body again, so 5,000 bytes of every such call stayed on the books. After 48 MiB of them every call would have been turned away. Line at fault: _hold(0) in the finally of run().

--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -92,9 +92,10 @@
         except StreamClosedError:
             pass
         finally:
-            self._hold(0)
-            if self.call is not None:
-                self.front.core.client_left(self.call)
+            call, self.call = self.call, None
+            self._hold(0)  # without the call: its bytes are given back too, or the bound fills by and by
+            if call is not None:
+                self.front.core.client_left(call)
 
     def check(self, now: float) -> None:
         """Guards against clients that take or send nothing for ever."""
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,136 @@
+"""Client connections over a socket pair, with the core's stand-ins behind them."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+from tornado.iostream import IOStream
+
+from hillridge.interface import Outcome
+from lockspoke.wire import clients
+from lockspoke.wire.clients import ClientConnection, ClientFront
+
+from .standins import EVENTS, call_bytes, until
+from .test_core import World
+
+BODY = b"x" * 5000
+
+
+class Pair:
+    """One client's connection, and the front that it belongs to."""
+
+    def __init__(self) -> None:
+        self.world = World()
+        self.front = ClientFront(self.world.core, {"docs": 0}, 8, lambda: True)
+        self.client, served = socket.socketpair()
+        served.setblocking(False)
+        self.connection = ClientConnection(self.front, IOStream(served))
+        self.task = asyncio.ensure_future(self.connection.run())
+
+    def send(self, data: bytes) -> None:
+        self.client.sendall(data)
+
+    async def read(self, mark: bytes) -> bytes:
+        got = b""
+        self.client.setblocking(False)
+        async with asyncio.timeout(30):
+            while mark not in got:
+                got += await asyncio.get_running_loop().sock_recv(self.client, 65536)
+        return got
+
+    async def leave(self) -> None:
+        self.client.close()
+        await asyncio.wait_for(self.task, 30)
+
+
+def play(test: Callable[[Pair], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        await test(Pair())
+
+    asyncio.run(whole())
+
+
+def test_bytes_held_are_given_back_however_a_call_ends() -> None:
+    """Else the bound on held bytes would be used up by and by, and every call turned away."""
+
+    async def served(pair: Pair) -> None:
+        pair.send(call_bytes(1, body=BODY))
+        await until(lambda: bool(pair.world.started))
+        assert pair.front.held_bytes == len(BODY)
+        pair.world.started[0].streamed(EVENTS[0])
+        pair.world.started[0].ended(Outcome.OK)
+        assert pair.front.held_bytes == 0
+        await pair.leave()
+
+    async def left(pair: Pair) -> None:
+        pair.send(call_bytes(1, body=BODY))
+        await until(lambda: bool(pair.world.started))
+        await pair.leave()
+        assert pair.front.held_bytes == 0 and pair.world.core.totals["left"] == 1
+
+    async def half(pair: Pair) -> None:
+        pair.send(call_bytes(1, body=BODY)[:-10])
+        await until(lambda: pair.front.held_bytes == len(BODY) - 10)
+        await pair.leave()
+        assert pair.front.held_bytes == 0 and not pair.world.started
+
+    for test in (served, left, half):
+        play(test)
+
+
+def test_past_the_bound_on_held_bytes_a_call_is_turned_away(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "HELD_BYTES", 1000)
+
+    async def test(pair: Pair) -> None:
+        pair.send(call_bytes(1, body=BODY))
+        answer = await pair.read(b"held\n")
+        assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1.000" in answer
+        await pair.leave()
+        assert pair.front.held_bytes == 0 and not pair.world.started
+
+    play(test)
+
+
+def test_a_request_that_never_ends_is_a_408(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "HALF", 0.0)
+
+    async def test(pair: Pair) -> None:
+        pair.send(b"GET /up HT")
+        await until(lambda: not pair.connection.idle)
+        await asyncio.sleep(0.01)
+        pair.connection.check(asyncio.get_running_loop().time())
+        assert (await pair.read(b"\r\n\r\n")).startswith(b"HTTP/1.1 408 ")
+        await pair.leave()
+
+    play(test)
+
+
+def test_requests_sent_ahead_are_answered_in_order_and_only_so_many() -> None:
+    async def test(pair: Pair) -> None:
+        pair.send(call_bytes(1) + b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+        await until(lambda: bool(pair.world.started) and bool(pair.connection.waiting))
+        pair.world.started[0].streamed(EVENTS[0])
+        pair.world.started[0].ended(Outcome.OK)
+        answer = await pair.read(b"ready\n")
+        assert answer.index(EVENTS[0]) < answer.index(b"0\r\n\r\n") < answer.index(b"ready\n")
+        pair.send(call_bytes(2) * 10)
+        await asyncio.wait_for(pair.task, 30)  # a client that sends far ahead is cut off
+
+    play(test)
+
+
+def test_an_http_1_0_client_gets_its_stream_without_chunks() -> None:
+    async def test(pair: Pair) -> None:
+        pair.send(call_bytes(1).replace(b"HTTP/1.1", b"HTTP/1.0").replace(b"Host: origin.svc\r\n", b""))
+        await until(lambda: bool(pair.world.started))
+        assert pair.world.started[0].call.headers["host"] == "origin.svc"
+        pair.world.started[0].streamed(EVENTS[0])
+        pair.world.started[0].ended(Outcome.OK)
+        answer = await pair.read(EVENTS[0])
+        assert b"chunked" not in answer and answer.endswith(b"\r\n\r\n" + EVENTS[0])
+        await asyncio.wait_for(pair.task, 30)
+
+    play(test)
