--- a/tests/test_batch_program.py
+++ b/tests/test_batch_program.py
@@ -10,9 +10,11 @@
 
 import pytest
 
+from lockspoke.lifecycle.batch import read_batch_config
+from lockspoke.lifecycle.config import ConfigError
 from lockspoke.wire.http1 import encode_request
 
-from .standins import EVENTS, HEAD, TAIL, Client, FakeWorker, Program, call_bytes, chunk, until
+from .standins import EVENTS, HEAD, ROOT, TAIL, Client, FakeWorker, Program, call_bytes, chunk, until
 
 LINES = 2000
 URL = "/v1/chat/completions"
@@ -309,6 +311,25 @@
     asyncio.run(play())
 
 
+def test_the_deploy_file_is_read_and_bad_ones_name_the_key(tmp_path: Path) -> None:
+    config = read_batch_config(ROOT / "deploy" / "batch.toml", {})
+    assert (config.listen, config.concurrency, config.inventory) == (("127.0.0.1", 5080), 4, None)
+    good = 'listen = "127.0.0.1:1"\nstore = "s"\n'
+    for text, key in (
+        ('listen = "127.0.0.1:1"\n', "store"),
+        (good + "concurrency = 0\n", "concurrency"),
+        (good + "concurrency = true\n", "concurrency"),
+        (good + "speed = 1\n", "speed"),
+        (good + 'token_env = "NOT_SET"\n', "token_env"),
+        ('listen = "here"\nstore = "s"\n', "listen"),
+        ("listen =", "batch.toml"),
+    ):
+        path = tmp_path / "batch.toml"
+        path.write_text(text)
+        with pytest.raises(ConfigError, match=key):
+            read_batch_config(path, {})
+
+
 def test_without_the_option_nothing_listens_for_batches() -> None:
     async def play() -> None:
         async with FakeWorker() as worker, Program(worker) as program, Client(program.port) as client:
