SIGHUP takes up the configuration anew and moves the watch of discovery

At fault: lifecycle/program.py handled SIGTERM and SIGINT only; config.py let NODE_DISCOVERY go before the file also on a second reading, where the file's new word has to hold. Now the whole file is read again (discovery, limits, settings with classes and zones, for both fronts); a bad one is refused in one log line; the new watch begins at once with the whole list, as versions are the word of the service that gave them. Calls, connections and health stay. A trace of each delegation shows what is lost now: calls that find no gateway taking connections while two of them drain, and calls held up to 7 s by the module's ceilings although workers' streams keep their pace.

--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -129,6 +129,10 @@
         self.now = 0
         self.out: list[api.Action] = []
 
+    def reconfigure(self, settings: api.Settings) -> None:
+        """New settings from now on; what is under way keeps the class it came with."""
+        self.settings, self.taken = settings, [0.0] * len(settings.tenants)
+
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         """Take what has come in at `now`; answer what is to be done at once."""
         self.now, self.out = now, []
--- a/lockspoke/lifecycle/batch.py
+++ b/lockspoke/lifecycle/batch.py
@@ -99,18 +99,26 @@
 
     def __init__(self, config: BatchConfig, gateway: Config, core: Core) -> None:
         self.config = config
-        if config.kind not in gateway.classes:
-            raise ConfigError(f"kind is {config.kind!r}, want one of {', '.join(gateway.classes)}")
-        request_class = gateway.classes[config.kind]
+        request_class = self._class(gateway)
         try:
             self.store = BatchStore(config.store, time.time)
         except (StoreError, OSError) as error:
             raise ConfigError(f"store: {error}") from None
         longest = gateway.deadlines[request_class]
-        lines = BatchLines(self.store, config.kind, request_class, longest, config.lines_limit)
-        self.runner = BatchRunner(self.store, core, lines, config.concurrency, config.tries, time.time)
+        self.lines = BatchLines(self.store, config.kind, request_class, longest, config.lines_limit)
+        self.runner = BatchRunner(self.store, core, self.lines, config.concurrency, config.tries, time.time)
         self.front = BatchFront(self.store, self.runner, config.connections, config.file_limit, config.token)
 
+    def _class(self, gateway: Config) -> int:
+        if self.config.kind not in gateway.classes:
+            raise ConfigError(f"kind is {self.config.kind!r}, want one of {', '.join(gateway.classes)}")
+        return gateway.classes[self.config.kind]
+
+    def reconfigure(self, gateway: Config) -> None:
+        """The gateway's configuration has changed: lines that begin from now on go by the new one."""
+        self.lines.request_class = self._class(gateway)
+        self.lines.longest = gateway.deadlines[self.lines.request_class]
+
     def start(self) -> None:
         """Listen, and go on with what was left unfinished."""
         host, port = self.front.listener.listen(self.config.listen)
--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -10,9 +10,9 @@
 from typing import Any
 
 from hillridge.interface import Settings
-from hillridge.wire import SettingsError, decode_settings
+from hillridge.wire import decode_settings
 from lockspoke.memory.registry import RegistryUpdate
-from lockspoke.wire.discovery import ListError, decode_endpoint, read_list
+from lockspoke.wire.discovery import decode_endpoint, read_list
 
 MS = 1_000_000
 OWN_SOCKETS = 64  # descriptors for discovery, listeners, files, logs and what the interpreter needs
@@ -29,6 +29,7 @@
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int] | None  # none where an inventory feeds the registry
+    named: str  # the discovery that the file itself names
     seed: int
     sockets: int
     known: RegistryUpdate | None
@@ -72,8 +73,12 @@
         raise ConfigError(f"seed is {value!r}, want a hexadecimal number") from None
 
 
-def read_config(environment: Mapping[str, str]) -> Config:
-    """Read the file that NODE_CONFIG names; the other variables go before what it says."""
+def read_config(environment: Mapping[str, str], before: Config | None = None) -> Config:
+    """Read the file that NODE_CONFIG names; the other variables go before what it says.
+
+    Read again, with the configuration that holds so far, a discovery that the file now names goes before
+    the variable: a process's environment cannot follow a change.
+    """
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigError("NODE_CONFIG is not set")
@@ -84,22 +89,29 @@
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: want an object")
     try:
-        return _config(raw, environment)
-    except (SettingsError, ListError) as error:
+        return _config(raw, environment, before)
+    except (ValueError, TypeError, AttributeError, OverflowError) as error:
+        # Whatever is wrong with a file, it is told in one line: a reload must never end a running program.
         raise ConfigError(f"{path}: {error}") from None
 
 
-def _config(raw: dict[str, Any], environment: Mapping[str, str]) -> Config:
+def _config(raw: dict[str, Any], environment: Mapping[str, str], before: Config | None) -> Config:
     settings = _dig(raw, "settings", {})
     names = []
     for profile in _dig(settings, "profiles", []):
         names.append(str(profile.get("name", "")) if isinstance(profile, dict) else "")
     known = raw.get("known")
-    discovery = environment.get("NODE_DISCOVERY") or str(raw.get("discovery", ""))
+    named = str(raw.get("discovery") or "")
+    if before is not None and named in ("", before.named):
+        discovery = before.discovery
+    else:
+        told = named if before is not None else environment.get("NODE_DISCOVERY") or named
+        discovery = decode_endpoint(told) if told else None
     return Config(
         name=environment.get("NODE_NAME") or str(raw.get("name", "")),
         listen=decode_endpoint(environment.get("NODE_LISTEN") or str(raw.get("listen", "")), 0),
-        discovery=None if not discovery else decode_endpoint(discovery),
+        discovery=discovery,
+        named=named or (before.named if before is not None else ""),
         seed=_seed(raw.get("seed", "0")),
         # The system's own limit may be lower: past it, accepting would fail and be tried for ever.
         sockets=min(_whole(raw, "limits.sockets", 1024), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -70,7 +70,8 @@
         self.phase = Phase.STARTING
         self.timers = LoopTimers()
         self.registry = Registry(Numbers(), config.zones)
-        most = config.connections(0 if batch is None else batch.connections)
+        self._others = 0 if batch is None else batch.connections
+        most = config.connections(self._others)
         self.workers = WorkerConnections(
             config.load_names,
             config.connect_timeout,
@@ -95,6 +96,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.core.start()
         known = self.watch.load() if isinstance(self.watch, InventoryWatch) else self.config.known
         if known is not None:
@@ -115,6 +117,31 @@
         self._tell_totals()
         self._enter(Phase.STOPPED)
 
+    def _reload(self) -> None:
+        """Take up the configuration's file as it is now; one that cannot be read leaves the old in force.
+
+        Calls, connections and what is known of workers stay. Name, address and seed are of the start alone,
+        and so is the list that the file holds: discovery's own is newer.
+        """
+        try:
+            config = read_config(os.environ, self.config)
+            if self.batch is not None:
+                self.batch.reconfigure(config)
+        except ConfigError as error:
+            log.error("reload_refused", reason=str(error))
+            return
+        moved = config.discovery != self.config.discovery
+        self.config = config
+        most = config.connections(self._others)
+        self.workers.reconfigure(config.load_names, config.connect_timeout, config.keepalive, most)
+        self.clients.reconfigure(config.classes, most - 1)
+        anew = self.core.reconfigure(config.settings, config.zones)
+        if isinstance(self.watch, InventoryWatch):
+            self.watch.reread()
+        elif config.discovery is not None and (moved or anew):
+            self.watch.move(config.discovery)
+        log.info("reloaded", discovery_moved=moved)
+
     async def _sweep(self) -> None:
         told = time.monotonic()
         while True:
@@ -173,6 +200,7 @@
     parser = argparse.ArgumentParser(prog="lockspoke", description="A gateway for language-model workers.")
     parser.add_argument("--batch", type=Path, metavar="FILE", help="also listen for batches, as FILE says")
     options = parser.parse_args()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop takes it: the file is not read yet anyway
     start_logging()
     try:
         config = read_config(os.environ)
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import structlog
@@ -69,6 +69,12 @@
             # The decisions expect the list to come by itself; on sockets it never does unasked.
             self.discovery.watch(True)
 
+    def reconfigure(self, settings: api.Settings, zones: Sequence[str]) -> bool:
+        """New settings from now on; whether the registry has to be told the whole list again for them."""
+        self._asks = settings.ask_for_list
+        self.balancer.reconfigure(settings)
+        return self.registry.rename_zones(zones)
+
     # What fronts and discovery say
 
     def submit(self, call: Call) -> None:
--- a/lockspoke/memory/registry.py
+++ b/lockspoke/memory/registry.py
@@ -55,6 +55,12 @@
         self.workers: dict[int, Worker] = {}
         self.rev = -1
 
+    def rename_zones(self, zones: Sequence[str]) -> bool:
+        """New names of the zones; whether they differ, so that only a whole list can be placed by them."""
+        named = {name: index for index, name in enumerate(zones)}
+        changed, self.zones = named != self.zones, named
+        return changed
+
     @property
     def ready(self) -> int:
         """How many workers the list calls ready."""
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -53,6 +53,11 @@
         self.held_bytes = 0
         self.listener = Listener(lambda stream: ClientConnection(self, stream), most)
 
+    def reconfigure(self, classes: Mapping[str, int], most: int) -> None:
+        """New classes and a new bound from now on."""
+        self.classes = classes
+        self.listener.most = most
+
     def sweep(self) -> None:
         """Close connections that stand idle, stalled, or amid a request for too long."""
         now = asyncio.get_running_loop().time()
--- a/lockspoke/wire/inventory_watch.py
+++ b/lockspoke/wire/inventory_watch.py
@@ -48,6 +48,11 @@
             self._task.cancel()
             self._task = None
 
+    def reread(self) -> None:
+        """Take the file up whether it seems to have changed or not."""
+        self._seen = None
+        self.look()
+
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(LOOK)
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -42,6 +42,16 @@
         elif not enable and self._task is not None:
             self.close()
 
+    def move(self, endpoint: tuple[str, int]) -> None:
+        """Watch at another address from now on: at once, since the old one may close any moment."""
+        assert self.core is not None
+        log.info("discovery_moved", host=endpoint[0], port=endpoint[1])
+        self.close()
+        self.endpoint = endpoint
+        # Versions are the word of the service that gave them: the first call there asks for the whole list.
+        self.core.registry.rev = -1
+        self.watch(True)
+
     def close(self) -> None:
         """End the watch."""
         if self._task is not None:
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -67,15 +67,19 @@
         most: int,
         now: Callable[[], int],
     ) -> None:
-        self.load_names = load_names
-        self.connect_timeout = connect_timeout / 1e9
-        self.idle_limit = IDLE_SHARE * keepalive / 1e9
-        self.most = most
+        self.reconfigure(load_names, connect_timeout, keepalive, most)
         self.now = now
         self.open = 0
         self.idle: dict[int, deque[Connection]] = {}  # by worker, the one used last at the right
         self.tasks: dict[Delegation, asyncio.Task[None]] = {}
 
+    def reconfigure(self, load_names: Sequence[str], connect_timeout: int, keepalive: int, most: int) -> None:
+        """New figures from now on; connections past a lower bound go as they fall idle."""
+        self.load_names = load_names
+        self.connect_timeout = connect_timeout / 1e9
+        self.idle_limit = IDLE_SHARE * keepalive / 1e9
+        self.most = most
+
     # What the core asks for
 
     def start(self, delegation: Delegation) -> None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -167,17 +168,17 @@
 
     async def __aenter__(self) -> Program:
         self.folder = tempfile.TemporaryDirectory()
-        config = Path(self.folder.name, "config.json")
-        raw = {
+        self.config = Path(self.folder.name, "config.json")
+        self.raw_config: dict[str, Any] = {
             "name": "t1",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": self.known,
             "settings": SETTINGS | {"limits": SETTINGS["limits"] | {"keepalive": self.keepalive}},
         }
-        config.write_text(json.dumps(raw))
+        self.config.write_text(json.dumps(self.raw_config))
         env = os.environ | {
-            "NODE_CONFIG": str(config),
+            "NODE_CONFIG": str(self.config),
             "NODE_LISTEN": "127.0.0.1:0",
             "NODE_DISCOVERY": f"127.0.0.1:{self.discovery}",
         }
@@ -212,6 +213,12 @@
                 return line
         return None
 
+    def reload(self, raw: str | None = None, **changes: Any) -> None:
+        """Put another file in the place of the configuration and say so."""
+        self.raw_config |= changes
+        self.config.write_text(json.dumps(self.raw_config) if raw is None else raw)
+        self.process.send_signal(signal.SIGHUP)
+
     async def terminate(self) -> int:
         self.process.terminate()
         return await asyncio.wait_for(self.process.wait(), PATIENCE)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -182,6 +182,32 @@
             assert len(new.seen) == 1 and len(old.seen) == 1
 
 
+@run
+async def test_sighup_moves_to_another_discovery_and_a_bad_file_changes_nothing() -> None:
+    """The program used to end on it. The file's new word goes before the environment's old one."""
+    async with FakeWorker() as old, FakeWorker() as new, FakeDiscovery() as first, FakeDiscovery() as second:
+        first.change(old)
+        second.change(new)
+        async with Program(old, discovery=first) as program, Client(program.port) as client:
+            assert (await client.ask(call_bytes(1)))[0] == 200
+            for bad in ("{", '{"settings": {"profiles": 5}}', '{"limits": {"sockets": "x"}}'):
+                program.raw.clear()
+                program.reload(bad)
+                await until(lambda: "reload_refused" in "".join(program.raw))
+                assert len(program.raw) == 1  # one line, whatever is wrong
+            address = f"127.0.0.1:{second.port}"
+            moved = {"discovery": address, "limits": {"memory_mb": 64, "sockets": 300}}
+            program.reload(**moved)
+            program.reload(**moved)  # twice at once
+            await until(lambda: program.log("reloaded", discovery_moved=True) is not None)
+            await until(lambda: any("from=" in request.head.query for request in second.seen))
+            assert "from=" not in second.seen[0].head.query  # versions are each service's own
+            assert (await client.ask(call_bytes(2)))[0] == 200  # the connection has lived through it
+            assert (len(old.seen), len(new.seen)) == (1, 1)
+            program.reload(discovery=f"127.0.0.1:{first.port}")
+            assert await program.terminate() == 0
+
+
 @run
 async def test_sigterm_answers_all_and_what_still_comes() -> None:
     go = asyncio.Event()
