--- a/hillridge/interface.py
+++ b/hillridge/interface.py
@@ -91,6 +91,7 @@
     ask_for_list: bool = False  # the list has to be asked for
     ask_every: int = 10_000_000_000
     cross_zone_price: float = 0.0
+    busy_field: int | None = None  # where a load report says what share of a replica's slots is taken
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -34,6 +34,8 @@
 LATE_PART = 0.2  # of the aim, twice for a prompt not kept: later, and the replica holds too much
 RISE = 0.75  # over the number of gateways, by a first token in time: answers show their weight late
 RISE_GATEWAYS = 16  # at most: with more the rise would take minutes
+SPARE = 0.7  # share of slots taken up to which a replica is no jam, whatever its first tokens say
+REPORT_LIVES = 4 * SECOND  # a report older than that excuses nothing
 LATENESS_MEMORY = 8  # signs; most of these late: the trouble is shared, and the gateway as a whole holds back
 FIRST_CEILING = 2.0  # of a replica that has started or was open: as many as its trials
 CEILING_CUT = 0.7  # what is left of a ceiling after a late first token, a time-out or 'full'
@@ -305,6 +307,8 @@
         if event.outcome is api.Outcome.FULL:
             attempt.replica.full_until = self.now + FULL_PAUSE
         attempt.outcome = event.outcome
+        if event.report and self.settings.busy_field is not None:
+            attempt.replica.busy, attempt.replica.busy_at = event.report[self.settings.busy_field], self.now
         if not attempt.streaming and event.outcome in (api.Outcome.FULL, api.Outcome.TIMEOUT):
             self._learn(attempt, math.inf)
         breaker, before = attempt.replica.breaker, attempt.replica.breaker.state
@@ -334,6 +338,8 @@
         """Move the ceilings: what is sent past the pace of a replica, or of all, makes all of it late."""
         # 'Full' is one replica's alone: its quick refusals would outnumber all other signs.
         shared = attempt.outcome is not api.Outcome.FULL
+        if shared and part > LATE_PART and self._spare(attempt.replica):
+            return  # it was reading: a prompt that nobody keeps, or a heavy one before it
         self.lateness += ((part > LATE_PART) - self.lateness) / LATENESS_MEMORY * shared
         for holder in (attempt.replica, self.fleet)[: 1 + shared]:
             if part <= LATE_PART:
@@ -344,6 +350,10 @@
                 holder.ceiling = max(1.0, CEILING_CUT * min(holder.ceiling, holder.in_flight))
                 holder.cut_at = self.now
 
+    def _spare(self, replica: Replica) -> bool:
+        """Whether its last report, if it is not old, says that it has slots to spare."""
+        return replica.busy <= SPARE and self.now - replica.busy_at <= REPORT_LIVES
+
     def _may_open(self) -> bool:
         """Guards against a shared slowdown that would open the whole fleet and refuse everything."""
         shut = sum(r.breaker.state is not State.CLOSED for r in self.ready)
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -36,6 +36,7 @@
         self.cold_sends: deque[tuple[int, float]] = deque()  # (when, work) within the warm-up budget's window
         self.ceiling = math.inf  # of own requests in flight; none until the first sign of a jam
         self.cut_at = 0  # when the ceiling was last lowered
+        self.busy, self.busy_at = 1.0, 0  # share of its slots taken, by its last report, and when that came
         self.full_until = 0  # not asked again before this time
 
     def share_of_warm(self, now: int, settings: api.Settings) -> float:
--- a/hillridge/wire.py
+++ b/hillridge/wire.py
@@ -127,6 +127,12 @@
     return words[value]
 
 
+def _busy_field(settings: dict[str, Any]) -> int | None:
+    """The place of the share of slots taken in a load report, where outcomes carry reports that have it."""
+    names = _member(settings, "loadInfo.fields", [])
+    return names.index("busy") if isinstance(names, list) and "busy" in names else None
+
+
 def _listed(settings: dict[str, Any], path: str) -> list[Any]:
     value = _member(settings, path, [])
     if not isinstance(value, list):
@@ -179,6 +185,7 @@
         zone=int(_number(raw, "zone", 0)),
         gateways=int(_number(raw, "peersTotal", 1, low=1)),
         ask_for_list=ask,
+        busy_field=_busy_field(raw),
         ask_every=int(_number(raw, "contract.askEvery", _NEEDED if ask else 10_000_000_000, low=1)),
         cross_zone_price=float(_number(raw, "prices.crossZone", 0.0)),
     )
