--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -34,12 +34,15 @@
 LATE_PART = 0.2  # of the aim, twice for a prompt not kept: later, and the replica holds too much
 RISE = 0.75  # over the number of gateways, by a first token in time: answers show their weight late
 RISE_GATEWAYS = 16  # at most: with more the rise would take minutes
-SPARE = 0.7  # share of slots taken up to which a replica is no jam, whatever its first tokens say
-REPORT_LIVES = 4 * SECOND  # a report older than that excuses nothing
+SPARE = 0.7  # share of a replica's slots that may be taken, by its reports, before ceilings hold requests
+LEAST_BUSY = 0.1  # a report below that says no more than that there is much room
+REPORT_LIVES = 4 * SECOND  # a report older than that says nothing any more
+MILD_PART = 0.5  # of the aim: later than that, a first token is a sign of a jam whatever a report says
 LATENESS_MEMORY = 8  # signs; most of these late: the trouble is shared, and the gateway as a whole holds back
 FIRST_CEILING = 2.0  # of a replica that has started or was open: as many as its trials
 CEILING_CUT = 0.7  # what is left of a ceiling after a late first token, a time-out or 'full'
 HOME_SHARE = 0.5  # of a mean replica's requests: as many as one beginning may bring to one of its homes
+MOST_HOMES = 512  # beginnings whose order of homes is kept
 RECENT = 64  # requests by which a beginning's share of the traffic is judged
 FULL_PAUSE = SECOND // 10  # before a full replica is asked again: at once, it would only refuse again
 COME_BACK = SECOND // 2  # the least that a refused client is told to wait: sooner, it meets the same jam
@@ -115,6 +118,7 @@
         self.random = random.Random(seed)
         self.replicas: dict[int, Replica] = {}
         self.ready: list[Replica] = []  # of them, those that the list calls ready
+        self.homes: dict[int, list[Replica]] = {}  # by beginning, see _homes
         self.requests: dict[int, Request] = {}
         self.waiting: dict[int, Request] = {}  # held until a replica has room
         self.taken = [0.0] * len(settings.tenants)  # work sent for each tenant of late, against its share
@@ -203,6 +207,7 @@
             if gone and self.now - replica.told_at > memory:
                 del self.replicas[replica.number]
         self.ready = [r for r in self.replicas.values() if r.state is api.ReplicaState.READY]
+        self.homes.clear()
 
     def _plan_to_ask(self, kind: api.ListKind) -> None:
         """When to ask for the list next: at once at the start, spaced after failures, else not at all."""
@@ -231,7 +236,10 @@
         if closed and not free and not trials:
             return  # guards the gateway's CPU: a jam in a large fleet is looked at for every event
         stuck = 0
-        for number in sorted(self.waiting, key=lambda number: self._turn(self.waiting[number], free)):
+        line = list(self.waiting)
+        if len(line) > 1:  # mostly there is one: no line to order
+            line.sort(key=lambda number: self._turn(self.waiting[number], free))
+        for number in line:
             stuck += not self._send(number, self.waiting[number])
             if stuck >= STUCK:
                 break
@@ -291,6 +299,7 @@
             if attempt.streaming or not attempt.out:
                 return
             attempt.streaming = True
+            attempt.replica.turned.pop(request.arrived.request_class, None)
             read = 1.0 + attempt.unread / max(1.0, request.arrived.prompt_tokens)  # reading takes its time
             self._learn(attempt, event.elapsed / request.aim / read)
             attempt.replica.breaker.succeeded(attempt)
@@ -305,14 +314,15 @@
         if not attempt.out:
             return
         if event.outcome is api.Outcome.FULL:
-            attempt.replica.full_until = self.now + FULL_PAUSE
+            self._turned_away(attempt.replica, request.arrived.request_class, event.elapsed)
         attempt.outcome = event.outcome
         if event.report and self.settings.busy_field is not None:
-            attempt.replica.busy, attempt.replica.busy_at = event.report[self.settings.busy_field], self.now
+            self._reported(attempt.replica, event.report[self.settings.busy_field])
         if not attempt.streaming and event.outcome in (api.Outcome.FULL, api.Outcome.TIMEOUT):
             self._learn(attempt, math.inf)
         breaker, before = attempt.replica.breaker, attempt.replica.breaker.state
         attempt.replica.in_flight -= 1
+        attempt.replica.least = min(attempt.replica.least, attempt.replica.in_flight)
         self.fleet.in_flight -= 1
         attempt.replica.work -= attempt.work
         if event.outcome is api.Outcome.OK:
@@ -338,7 +348,8 @@
         """Move the ceilings: what is sent past the pace of a replica, or of all, makes all of it late."""
         # 'Full' is one replica's alone: its quick refusals would outnumber all other signs.
         shared = attempt.outcome is not api.Outcome.FULL
-        if shared and part > LATE_PART and self._spare(attempt.replica):
+        holder = attempt.replica
+        if shared and LATE_PART < part <= MILD_PART and holder.in_flight <= self._floor(holder):
             return  # it was reading: a prompt that nobody keeps, or a heavy one before it
         self.lateness += ((part > LATE_PART) - self.lateness) / LATENESS_MEMORY * shared
         for holder in (attempt.replica, self.fleet)[: 1 + shared]:
@@ -350,9 +361,24 @@
                 holder.ceiling = max(1.0, CEILING_CUT * min(holder.ceiling, holder.in_flight))
                 holder.cut_at = self.now
 
-    def _spare(self, replica: Replica) -> bool:
-        """Whether its last report, if it is not old, says that it has slots to spare."""
-        return replica.busy <= SPARE and self.now - replica.busy_at <= REPORT_LIVES
+    def _turned_away(self, replica: Replica, kind: int, elapsed: int) -> None:
+        """A full replica says so at once; one that takes its time turns away a class of requests."""
+        if elapsed <= FULL_PAUSE:
+            replica.full_until = self.now + FULL_PAUSE
+            return
+        times = replica.turned[kind] = replica.turned.get(kind, 0) + 1
+        pause = min(elapsed << min(times, 16), LONGEST_RECOVERY)
+        replica.class_until[kind] = self.now + pause
+
+    def _reported(self, replica: Replica, busy: float) -> None:
+        """What a report of the slots taken says of the own requests that there is room for."""
+        replica.floor = max(1, replica.least) * SPARE / max(busy, LEAST_BUSY)
+        replica.floor_until, replica.least = self.now + REPORT_LIVES, replica.in_flight
+        if False and self.now - replica.cut_at > REPORT_LIVES:
+            replica.ceiling = max(replica.ceiling, replica.floor)
+
+    def _floor(self, replica: Replica) -> float:
+        return replica.floor if self.now < replica.floor_until else 0.0
 
     def _may_open(self) -> bool:
         """Guards against a shared slowdown that would open the whole fleet and refuse everything."""
@@ -418,6 +444,9 @@
             state = replica.breaker.look(self.now)
             if state is State.OPEN or (again and (replica in tried or not self._may_run(request, replica))):
                 continue
+            if self.now < replica.class_until.get(request.arrived.request_class, 0):
+                busy = True
+                continue
             if self.now < replica.warm_at and not self._budget_allows(replica, asked):
                 continue
             if state is State.HALF_OPEN:
@@ -439,8 +468,8 @@
             # A beginning that many ask for has many homes: one alone would get it from every gateway.
             key = arrived.prefix or arrived.session
             share = self.recent.count(key) / max(1, len(self.recent))
-            homes = heapq.nsmallest(1 + int(share * len(closed) / HOME_SHARE), closed, lambda r: r.rank(key))
-            drawn = self._draw(homes)
+            count = 1 + int(share * len(closed) / HOME_SHARE)
+            drawn = self._draw([r for r in self._homes(key) if r in closed][:count])
             for home in drawn:
                 home.kept.setdefault(arrived.prefix, arrived.prefix_tokens)  # others have sent it there
             sample += [*drawn, min(closed, key=lambda replica: self._work(request, replica))]
@@ -448,6 +477,15 @@
         self.last_winner = min(sample, key=lambda replica: self._cost(replica, request, mean_size))
         return self.last_winner, False
 
+    def _homes(self, key: int) -> list[Replica]:
+        """The ready replicas in the order in which they should hold a beginning; ranking is dear, so kept."""
+        order = self.homes.get(key)
+        if order is None:
+            if len(self.homes) >= MOST_HOMES:
+                self.homes.clear()
+            order = self.homes[key] = sorted(self.ready, key=lambda replica: replica.rank(key))
+        return order
+
     def _draw(self, replicas: list[Replica]) -> list[Replica]:
         # By size: weights that sink with the load, late, move a part of the traffic, never all of it. So a
         # crowded own zone sends a part away, as the others are drawn more often.
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -36,7 +36,13 @@
         self.cold_sends: deque[tuple[int, float]] = deque()  # (when, work) within the warm-up budget's window
         self.ceiling = math.inf  # of own requests in flight; none until the first sign of a jam
         self.cut_at = 0  # when the ceiling was last lowered
-        self.busy, self.busy_at = 1.0, 0  # share of its slots taken, by its last report, and when that came
+        self.floor, self.floor_until = (
+            0.0,
+            0,
+        )  # own requests that its last report has room for
+        self.least = 0  # the fewest own requests in flight since that report: it may speak of any time since
+        self.turned: dict[int, int] = {}  # by class, how often in a row it has turned requests away
+        self.class_until: dict[int, int] = {}  # by class, not asked again before this time
         self.full_until = 0  # not asked again before this time
 
     def share_of_warm(self, now: int, settings: api.Settings) -> float:
@@ -48,9 +54,12 @@
 
     def unread(self, arrived: api.Arrived) -> float:
         """Prompt tokens that this replica would have to read, as far as own sends tell."""
-        kept = self.kept
-        begun = min(kept.get(arrived.prefix, 0.0), arrived.prefix_tokens)
-        return max(0.0, arrived.prompt_tokens - max(kept.get(arrived.session, 0.0), begun))
+        begun = self.kept.get(arrived.prefix, 0.0)
+        if begun > arrived.prefix_tokens:
+            begun = arrived.prefix_tokens
+        kept = self.kept.get(arrived.session, 0.0)
+        left = arrived.prompt_tokens - (kept if kept > begun else begun)
+        return left if left > 0.0 else 0.0
 
     def take(self, arrived: api.Arrived, work: float) -> None:
         """Count a sent request, and remember what its prompt leaves behind; the oldest is forgotten first."""
