--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -34,7 +34,7 @@
 LATE_PART = 0.2  # of the aim, twice for a prompt not kept: later, and the replica holds too much
 RISE = 0.75  # over the number of gateways, by a first token in time: answers show their weight late
 RISE_GATEWAYS = 16  # at most: with more the rise would take minutes
-SPARE = 0.7  # share of a replica's slots that may be taken, by its reports, before ceilings hold requests
+SPARE = 0.6  # share of a replica's slots that may be taken, by its reports, before ceilings hold requests
 LEAST_BUSY = 0.1  # a report below that says no more than that there is much room
 REPORT_LIVES = 4 * SECOND  # a report older than that says nothing any more
 MILD_PART = 0.5  # of the aim: later than that, a first token is a sign of a jam whatever a report says
@@ -313,12 +313,13 @@
         attempt = request.attempts[event.attempt]
         if not attempt.out:
             return
-        if event.outcome is api.Outcome.FULL:
-            self._turned_away(attempt.replica, request.arrived.request_class, event.elapsed)
+        full = event.outcome is api.Outcome.FULL and self._is_full(
+            attempt.replica, request.arrived.request_class, event.elapsed
+        )
         attempt.outcome = event.outcome
         if event.report and self.settings.busy_field is not None:
             self._reported(attempt.replica, event.report[self.settings.busy_field])
-        if not attempt.streaming and event.outcome in (api.Outcome.FULL, api.Outcome.TIMEOUT):
+        if not attempt.streaming and (full or event.outcome is api.Outcome.TIMEOUT):
             self._learn(attempt, math.inf)
         breaker, before = attempt.replica.breaker, attempt.replica.breaker.state
         attempt.replica.in_flight -= 1
@@ -361,20 +362,21 @@
                 holder.ceiling = max(1.0, CEILING_CUT * min(holder.ceiling, holder.in_flight))
                 holder.cut_at = self.now
 
-    def _turned_away(self, replica: Replica, kind: int, elapsed: int) -> None:
+    def _is_full(self, replica: Replica, kind: int, elapsed: int) -> bool:
         """A full replica says so at once; one that takes its time turns away a class of requests."""
         if elapsed <= FULL_PAUSE:
             replica.full_until = self.now + FULL_PAUSE
-            return
+            return True
         times = replica.turned[kind] = replica.turned.get(kind, 0) + 1
         pause = min(elapsed << min(times, 16), LONGEST_RECOVERY)
         replica.class_until[kind] = self.now + pause
+        return False
 
     def _reported(self, replica: Replica, busy: float) -> None:
         """What a report of the slots taken says of the own requests that there is room for."""
         replica.floor = max(1, replica.least) * SPARE / max(busy, LEAST_BUSY)
         replica.floor_until, replica.least = self.now + REPORT_LIVES, replica.in_flight
-        if False and self.now - replica.cut_at > REPORT_LIVES:
+        if self.now - replica.cut_at > REPORT_LIVES:
             replica.ceiling = max(replica.ceiling, replica.floor)
 
     def _floor(self, replica: Replica) -> float:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -154,7 +154,12 @@
         return self.step(FirstToken(request, attempt, replica, self.now - sent))
 
     def end(
-        self, request: int, outcome: Outcome, attempt: int = -1, closed: bool | None = None
+        self,
+        request: int,
+        outcome: Outcome,
+        attempt: int = -1,
+        closed: bool | None = None,
+        report: tuple[float, ...] = (),
     ) -> list[Action]:
         call = self.calls[request]
         attempt %= len(call.attempts)
@@ -163,7 +168,8 @@
         closed = (outcome is Outcome.OK or call.streaming or bool(call.final)) if closed is None else closed
         if closed and not call.final:
             call.final = "outcome"
-        return self.step(AttemptEnded(request, attempt, replica, outcome, self.now - sent, closed))
+        elapsed = self.now - sent
+        return self.step(AttemptEnded(request, attempt, replica, outcome, elapsed, closed, 0, report))
 
     def out(self) -> list[tuple[int, int]]:
         """The attempts whose outcome has not come: (request, attempt)."""
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,84 @@
+"""What load reports and slow refusals say of a replica, on the module alone."""
+
+from __future__ import annotations
+
+import math
+
+from hillridge import interface as api
+from hillridge.policy import FULL_PAUSE, REPORT_LIVES
+
+from .helpers import MS, SECOND, World, settings
+
+
+def reported(busy: float) -> World:
+    """One replica with three requests in flight, which has just reported the share of slots taken."""
+    world = World(settings(busy_field=0), replicas=(1,))
+    for number in range(1, 6):
+        world.arrive(number)
+        world.first_token(number)
+    world.end(1, api.Outcome.OK, report=(busy,))
+    world.end(2, api.Outcome.OK, report=(busy,))  # the first may speak of a time with fewer in flight
+    return world
+
+
+def late(world: World, number: int, after: int) -> float:
+    world.arrive(number, prompt_tokens=0.0)
+    world.pass_time(after)
+    world.first_token(number)
+    return world.balancer.replicas[1].ceiling
+
+
+def test_a_late_first_token_cuts_no_ceiling_while_a_report_says_there_is_room() -> None:
+    """Workers that read prompts nobody kept were held to one request with most of their slots free."""
+    assert late(reported(0.2), 9, 450 * MS) == math.inf
+    assert late(reported(0.9), 9, 450 * MS) < 4
+    assert late(reported(0.2), 9, 700 * MS) < 4, "so late that it is a jam, whatever was reported"
+    world = reported(0.2)
+    world.pass_time(REPORT_LIVES)
+    assert late(world, 9, 450 * MS) < 4, "the report is old"
+
+
+def test_a_report_lifts_a_ceiling_that_is_lower_than_the_room_it_speaks_of() -> None:
+    """Ceilings of one stayed there: only in-time first tokens at the ceiling raised them, a little each."""
+    world = reported(0.9)
+    replica = world.balancer.replicas[1]
+    assert late(world, 9, 700 * MS) < 4
+    world.pass_time(REPORT_LIVES + MS)
+    world.end(3, api.Outcome.OK, report=(0.1,))
+    assert replica.ceiling > 10
+
+
+def test_a_class_that_a_replica_turns_away_slowly_is_kept_off_it_and_others_are_not() -> None:
+    """A worker took 0.9 s to turn away each request of one class, and got the next one all the same."""
+    kinds = (api.RequestClass(), api.RequestClass())
+    world = World(settings(classes=kinds, max_attempts=9), replicas=(1, 2))
+    asked = 0
+    for number in range(1, 21):
+        world.arrive(number, request_class=1, time_left=20 * SECOND)
+        if world.calls[number].attempts[-1][0] == 1:
+            asked += 1
+            world.pass_time(900 * MS)
+            world.end(number, api.Outcome.FULL)
+        world.first_token(number)
+        world.end(number, api.Outcome.OK)
+        world.pass_time(300 * MS)
+    assert asked <= 3
+    replica = world.balancer.replicas[1]
+    assert replica.full_until == 0 and replica.ceiling == math.inf
+    assert any(world.sent_to(world.arrive(number)) == [1] for number in range(100, 120))
+
+
+def test_a_replica_that_turns_away_at_once_is_full_for_all() -> None:
+    world = World(settings(max_attempts=9), replicas=(1,))
+    world.arrive(1)
+    world.end(1, api.Outcome.FULL)
+    replica = world.balancer.replicas[1]
+    assert replica.full_until == world.now + FULL_PAUSE and not replica.class_until
+
+
+def test_homes_follow_the_list() -> None:
+    world = World(replicas=range(1, 9))
+    before = world.balancer._homes(77)
+    assert before == sorted(world.balancer.ready, key=lambda replica: replica.rank(77))
+    world.list(api.ListKind.DELTA, (api.ListEntry(before[0].number, api.ReplicaState.DRAINING),))
+    assert world.balancer._homes(77) == before[1:]
