Spoilt answers are told as soon as they show, and before an event are failed attempts

At fault: wire/http1.py read on behind an answer's end, took chunks of any size and judged a status line only at the end of the head; wire/workers.py passed on half events, dropped what an error's read had ended and called all of it a reset, which weighs three on a breaker; wire/sse.py took any line. Now a parser reads one answer; events pass on whole; from an answer's first byte to its first event there is a second; what cannot be read is an 'error'; a connection is used again only 10 ms after its answer. Ruled out: broken streams of live workers: every cut in the log stands beside a spoilt answer.

--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -162,6 +162,7 @@
             open_calls=len(self.core.calls),
             clients=len(self.clients.listener.connections),
             workers=self.workers.open,
+            spoilt=self.workers.spoilt,
             **self.core.totals,
         )
 
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -87,6 +87,11 @@
     heard_at: int = 0  # when the stream last brought something
     waits_for_client: bool = False  # reading is paused, since the client is slow
 
+    @property
+    def streaming(self) -> bool:
+        """Whether its stream has begun to pass on: the call is its own."""
+        return self.call.owner is self
+
     def streamed(self, data: bytes) -> asyncio.Future[None] | None:
         """Bytes of the worker's stream have come."""
         return self.reports.streamed(self, data)
--- a/lockspoke/wire/http1.py
+++ b/lockspoke/wire/http1.py
@@ -15,6 +15,8 @@
 HEAD_LIMIT = 16 * 1024
 BODY_LIMIT = 256 * 1024  # the protocol's figure
 CHUNK_LINE_LIMIT = 256
+ANSWER_CHUNK_LIMIT = 1024 * 1024  # a worker's chunk holds an event or a few; one said to hold more is spoilt
+MOST_INTERIM = 8  # answers that may stand ahead of the real one
 REASONS = {
     100: "Continue",
     200: "OK",
@@ -129,12 +131,15 @@
     CHUNK_END = auto()
     TRAILER = auto()
     UNTIL_CLOSE = auto()
+    DONE = auto()
     FAILED = auto()
 
 
 class _Parser:
     """The part that requests and answers share: fields and the three framings of a body."""
 
+    chunk_limit: int | None = None
+
     def __init__(self, body_limit: int | None) -> None:
         self.body_limit = body_limit
         self._at = _At.HEAD
@@ -173,6 +178,8 @@
     def _step(self, pieces: list[Piece]) -> bool:
         if self._at is _At.HEAD:
             return self._head(pieces)
+        if self._at is _At.DONE:
+            return False
         if self._at in (_At.SIZED, _At.CHUNK_DATA):
             return self._counted(pieces)
         if self._at is _At.UNTIL_CLOSE:
@@ -277,6 +284,8 @@
         if not _HEX.fullmatch(size.rstrip(b" \t")) or not _VALUE.fullmatch(extension):
             raise HttpError(400, "bad chunk size")
         self._left = int(size, 16)
+        if self.chunk_limit is not None and self._left > self.chunk_limit:
+            raise HttpError(502, "chunk too large")
         self._body += self._left
         self._check_size(self._body)
         self._at, self._trailer = (_At.CHUNK_DATA, 0) if self._left else (_At.TRAILER, 0)
@@ -324,10 +333,28 @@
 
 
 class ResponseParser(_Parser):
-    """Answers as a client reads them."""
+    """One answer, as a client reads it; what comes behind it is nobody's and is not read."""
+
+    chunk_limit = ANSWER_CHUNK_LIMIT
 
     def __init__(self) -> None:
         super().__init__(None)
+        self._interim = 0
+
+    @property
+    def clean(self) -> bool:
+        """Whether the answer is whole and nothing has come behind it."""
+        return self._at is _At.DONE and not self._buffer
+
+    def _head(self, pieces: list[Piece]) -> bool:
+        # Told at the first bytes: noise that never ends a line would be waited for until the deadline.
+        if not b"HTTP/1.".startswith(bytes(self._buffer[:7])):
+            raise HttpError(502, "bad status line")
+        return super()._head(pieces)
+
+    def _finish(self, pieces: list[Piece]) -> None:
+        pieces.append(End())
+        self._at = _At.DONE
 
     def _begin(self, line: bytes, headers: Headers, pieces: list[Piece]) -> None:
         match = _STATUS.fullmatch(line)
@@ -335,7 +362,10 @@
             raise HttpError(502, "bad status line")
         minor, status = int(match[1]), int(match[2])
         if status < 200:
-            return  # an interim answer; the real one follows
+            self._interim += 1
+            if self._interim > MOST_INTERIM:
+                raise HttpError(502, "no end of interim answers")
+            return  # the real one follows
         length = 0 if status in (204, 304) else self._length(headers)
         stays = _stays(minor, headers) and length is not None
         pieces.append(ResponseHead(status, headers, stays))
--- a/lockspoke/wire/sse.py
+++ b/lockspoke/wire/sse.py
@@ -5,26 +5,54 @@
 import json
 
 LINE_LIMIT = 64 * 1024
+EVENT_LIMIT = 256 * 1024
+FIELDS = (b"data", b"event", b"id", b"retry")  # of the standard; a line that starts with a colon is a comment
 _LOAD = b": Srv-Load:"
 
 
+class StreamError(ValueError):
+    """What came is no stream of events."""
+
+
 class EventStream:
-    """Fed the bytes of a stream, it notes what the gateway itself wants of them."""
+    """Fed the bytes of a stream, it gives whole events back and notes what the gateway wants of them.
+
+    Events are held until they are whole: half of one that turns out to be spoilt must not be passed on,
+    since up to then the attempt can still be given up for another.
+    """
 
     def __init__(self) -> None:
         self.events = 0  # data lines so far
         self.done = False  # the closing marker has come
         self.kept_tokens = 0
         self.load = ""  # the last load report
-        self._rest = b""
+        self._held = bytearray()  # of an event that is not whole
+        self._read = 0  # of it, the bytes whose lines have been read
+
+    def feed(self, data: bytes) -> bytes:
+        """Take bytes as they come, cut anywhere; give the events that they complete."""
+        held = self._held
+        held += data
+        whole = 0
+        while (end := held.find(b"\n", self._read)) >= 0:
+            line = bytes(held[self._read : end]).rstrip(b"\r")
+            self._line(line)
+            self._read = end + 1
+            if not line:
+                whole = self._read
+        # Guards memory against a worker that never ends a line or an event.
+        if len(held) - self._read > LINE_LIMIT or len(held) - whole > EVENT_LIMIT:
+            raise StreamError("event too large")
+        events = bytes(held[:whole])
+        del held[:whole]
+        self._read -= whole
+        return events
 
-    def feed(self, data: bytes) -> None:
-        """Take bytes as they come, cut anywhere."""
-        *lines, rest = (self._rest + data).split(b"\n")
-        # Guards memory against a worker that never ends a line: such a line is of no interest here.
-        self._rest = rest if len(rest) <= LINE_LIMIT else b"data:"
-        for line in lines:
-            self._line(line.rstrip(b"\r"))
+    def rest(self) -> bytes:
+        """What stands behind the last whole event at the stream's end."""
+        if len(self._held) > self._read:
+            self._line(bytes(self._held[self._read :]).rstrip(b"\r"))
+        return bytes(self._held)
 
     def _line(self, line: bytes) -> None:
         if line.startswith(b"data:"):
@@ -35,6 +63,9 @@
                 self.done = True
         elif line.startswith(_LOAD):
             self.load = line[len(_LOAD) :].decode("latin-1").strip()
+        elif line and line[:1] != b":" and line.partition(b":")[0] not in FIELDS:
+            # A chunk whose size is wrong shows here: its neighbour's size stands among the events.
+            raise StreamError("no line of an event")
 
 
 def _kept(text: bytes) -> int:
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -16,10 +16,12 @@
 
 from .fields import decode_load
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
-from .sse import EventStream
+from .sse import EventStream, StreamError
 
 MS = 1_000_000
 READ = 16 * 1024
+OPENING = 1.0  # seconds from an answer's first byte to its first event: both come with the first token
+SETTLE = 0.01  # seconds in which what a worker sends behind an answer shows, before the connection is reused
 IDLE_SHARE = 0.8  # of the time after which a worker closes an idle connection: ours closes before
 
 log = structlog.get_logger()
@@ -70,6 +72,7 @@
         self.reconfigure(load_names, connect_timeout, keepalive, most)
         self.now = now
         self.open = 0
+        self.spoilt = 0  # answers that could not be read
         self.idle: dict[int, deque[Connection]] = {}  # by worker, the one used last at the right
         self.tasks: dict[Delegation, asyncio.Task[None]] = {}
 
@@ -102,9 +105,11 @@
     def sweep(self) -> None:
         """Close what has stood idle for long: the worker would, and a request written then is lost."""
         oldest = asyncio.get_running_loop().time() - self.idle_limit
-        for connections in self.idle.values():
+        for number, connections in list(self.idle.items()):
             while connections and connections[0].idle_since <= oldest:
                 self._close(connections.popleft())
+            if not connections:
+                del self.idle[number]
 
     # One delegation
 
@@ -145,39 +150,48 @@
         parser, events = ResponseParser(), EventStream()
         head: ResponseHead | None = None
         outcome = Outcome.RESET
+        loop = asyncio.get_running_loop()
         try:
-            while True:
-                parts: list[bytes] = []
-                whole = False
-                for piece in parser.feed(await connection.read()):
-                    if isinstance(piece, ResponseHead):
-                        head, outcome = piece, _outcome(piece)
-                    elif isinstance(piece, Data):
-                        parts.append(piece.data)
-                    else:
-                        whole = isinstance(piece, End)
-                        break
-                if parts and outcome is Outcome.OK:
-                    # What came together goes on together: one write where there would be one for each event.
-                    data = b"".join(parts)
-                    events.feed(data)
-                    waits = delegation.streamed(data)
-                    if waits is not None:
-                        await asyncio.wait([waits])
-                if whole and head is not None:
-                    load = events.load or head.headers.get("srv-load")
-                    return outcome, events.kept_tokens, load, head.keep_alive and parser.between
-        except (StreamClosedError, HttpError):
+            async with asyncio.timeout(None) as opening:
+                while True:
+                    received = await connection.read()
+                    if opening.when() is None and not delegation.streaming:
+                        opening.reschedule(loop.time() + OPENING)
+                    data, whole = b"", False
+                    for piece in parser.feed(received):
+                        if isinstance(piece, ResponseHead):
+                            head, outcome = piece, _outcome(piece)
+                        elif isinstance(piece, Data):
+                            data += piece.data
+                        else:
+                            whole = isinstance(piece, End)
+                    if outcome is Outcome.OK:
+                        # What came together goes on together: one write where there would be one an event.
+                        data = events.feed(data) + (events.rest() if whole else b"")
+                        if data:
+                            opening.reschedule(None)
+                            waits = delegation.streamed(data)
+                            if waits is not None:
+                                await asyncio.wait([waits])
+                    if whole and head is not None:
+                        load = events.load or head.headers.get("srv-load")
+                        return outcome, events.kept_tokens, load, head.keep_alive and parser.clean
+        except (StreamClosedError, HttpError, StreamError, TimeoutError) as error:
             load = events.load or (head.headers.get("srv-load") if head else "")
+            if outcome in (Outcome.OK, Outcome.RESET) and not isinstance(error, StreamClosedError):
+                # The worker has run it and answered, if badly; its connections are not to blame.
+                outcome = Outcome.ERROR
+                self.spoilt += 1
             return (Outcome.RESET if outcome is Outcome.OK else outcome), 0, load, False
 
     # The connections
 
     async def _acquire(self, worker: Worker) -> Connection:
         self.sweep()
-        connections = self.idle.get(worker.number)
-        while connections:
-            connection = connections.pop()
+        connections = self.idle.get(worker.number, deque())
+        settled = asyncio.get_running_loop().time() - SETTLE
+        for connection in [one for one in reversed(connections) if one.idle_since <= settled]:
+            connections.remove(connection)
             if not connection.stream.closed() and not connection.pending.done():
                 return connection
             self._close(connection)
