Bad clients are cut in time and reach no worker; what is no longer used is given back

At fault: wire/clients.py waited 30 s for half a request and 60 s between requests, ended a connection with a call still out when more than four requests or noise followed it, read 60 MB to drop them, and sent on the id of another client's open call; wire/listener.py made room without regard to who had ever asked; HELD_BYTES heeded no configuration; core.py kept bodies of streams and timers of ended delegations; registry.py and numbers.py kept every uid; two uids at one address were both sent to. Now: 2.25 s for the first byte and for a request, 409 for an id in use, the bound on bytes from limits.memory_mb, a 4xx of two workers fails the call and says nothing against them, an older worker at a younger one's address counts as gone, and freed memory goes back to the system every ten seconds.

--- a/hillridge/interface.py
+++ b/hillridge/interface.py
@@ -37,6 +37,7 @@
     RESET = 5  # the connection broke under it; it may have run
     CANCELLED = 6  # called off by the balancer; it may have run
     MOOT = 7  # never issued: proves that it never ran
+    REJECTED = 8  # the replica finds the request itself at fault; the wire of the simulator has no such word
 
 
 class ReplicaState(IntEnum):
--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -46,6 +46,7 @@
 RECENT = 64  # requests by which a beginning's share of the traffic is judged
 FULL_PAUSE = SECOND // 10  # before a full replica is asked again: at once, it would only refuse again
 COME_BACK = SECOND // 2  # the least that a refused client is told to wait: sooner, it meets the same jam
+REJECTIONS = 2  # replicas that find a request at fault, until it is: one alone may itself be at fault
 STUCK = 4  # waiting requests that may fail to find a place before the rest of the line is left for later
 FLOOD = 1.5  # times the mean of what tenants were sent against their shares: past it they wait behind others
 LONGEST_NAP = 60 * SECOND  # timers are cut to it: a gateway may not know longer ones
@@ -300,6 +301,9 @@
                 return
             attempt.streaming = True
             attempt.replica.turned.pop(request.arrived.request_class, None)
+            for other in request.attempts:
+                if other.outcome is api.Outcome.REJECTED:  # this replica takes what that one found at fault
+                    other.replica.breaker.failed(self.now, self._may_open())
             read = 1.0 + attempt.unread / max(1.0, request.arrived.prompt_tokens)  # reading takes its time
             self._learn(attempt, event.elapsed / request.aim / read)
             attempt.replica.breaker.succeeded(attempt)
@@ -340,8 +344,11 @@
                 attempt.replica.ceiling = FIRST_CEILING
                 self.out.append(api.Log(f"breaker open: replica {event.replica}, last {event.outcome.name}"))
         breaker.released(attempt)
+        rejected = sum(other.outcome is api.Outcome.REJECTED for other in request.attempts)
         if event.closed or not request.open:
             self._close(event.request, request)
+        elif rejected >= REJECTIONS:
+            self._answer(event.request, request)
         elif not any(other.streaming and other.out for other in request.attempts):
             self.waiting[event.request] = request
 
--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -15,6 +15,8 @@
 from lockspoke.wire.discovery import decode_endpoint, read_list
 
 MS = 1_000_000
+MB = 1024 * 1024
+OWN_MEMORY_MB = 26  # what the program takes with its connections open and no request held
 OWN_SOCKETS = 64  # descriptors for discovery, listeners, files, logs and what the interpreter needs
 
 
@@ -32,6 +34,7 @@
     named: str  # the discovery that the file itself names
     seed: int
     sockets: int
+    memory_mb: int
     known: RegistryUpdate | None
     settings: Settings
     classes: dict[str, int]  # by name, their place in the settings
@@ -41,6 +44,11 @@
     connect_timeout: int
     keepalive: int
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of requests that may be held, as a part of what the interpreter leaves of the memory."""
+        return max(1, min(48, (self.memory_mb - OWN_MEMORY_MB) // 3)) * MB
+
     def connections(self, others: int = 0) -> int:
         """The connections that each side, clients and workers, may take of the descriptors."""
         return max(8, (self.sockets - OWN_SOCKETS - others) // 2)
@@ -115,6 +123,7 @@
         seed=_seed(raw.get("seed", "0")),
         # The system's own limit may be lower: past it, accepting would fail and be tried for ever.
         sockets=min(_whole(raw, "limits.sockets", 1024), resource.getrlimit(resource.RLIMIT_NOFILE)[0]),
+        memory_mb=_whole(raw, "limits.memory_mb", 192),
         known=None if known is None else read_list(known),
         settings=decode_settings(json.dumps(settings).encode()),
         classes={name: index for index, name in enumerate(names)},
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import ctypes
 import gc
 import os
 import signal
@@ -28,7 +29,7 @@
 from .config import Config, ConfigError, read_config
 from .logs import start_logging
 
-SWEEP = 1.0
+SWEEP = 0.25  # bad clients are owed an answer within 3 s
 TOTALS = 10.0  # seconds between two lines of totals
 KEEP_ACCEPTING = 0.7  # seconds after SIGTERM: clients hear late that this gateway stops
 QUIET = 0.3  # seconds without a new connection, or of an idle one, before it is closed
@@ -57,9 +58,9 @@
         """Nanoseconds since the Unix epoch, never going back."""
         return self._base + time.monotonic_ns()
 
-    def later(self, delay: int, callback: Callable[[], None]) -> None:
+    def later(self, delay: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
         """Call back after so many nanoseconds."""
-        asyncio.get_running_loop().call_later(max(0, delay) / 1e9, callback)
+        return asyncio.get_running_loop().call_later(max(0, delay) / 1e9, callback)
 
 
 class Program:
@@ -83,7 +84,9 @@
         self.core = Core(config.settings, config.seed, self.registry, self.timers, self.workers, self.watch)
         self.watch.core = self.core
         # The listener holds one past its bound while it looks for room; each call needs a worker's place.
-        self.clients = ClientFront(self.core, config.classes, most - 1, lambda: self.phase is Phase.READY)
+        self.clients = ClientFront(
+            self.core, config.classes, most - 1, config.held_bytes, lambda: self.phase is Phase.READY
+        )
         self.batch = None if batch is None else BatchSide(batch, config, self.core)
         self._stop = asyncio.Event()
 
@@ -134,7 +137,7 @@
         self.config = config
         most = config.connections(self._others)
         self.workers.reconfigure(config.load_names, config.connect_timeout, config.keepalive, most)
-        self.clients.reconfigure(config.classes, most - 1)
+        self.clients.reconfigure(config.classes, most - 1, config.held_bytes)
         anew = self.core.reconfigure(config.settings, config.zones)
         if isinstance(self.watch, InventoryWatch):
             self.watch.reread()
@@ -154,6 +157,7 @@
             if time.monotonic() - told >= TOTALS:
                 told = time.monotonic()
                 self._tell_totals()
+                give_back()
             await asyncio.sleep(SWEEP if self.phase is not Phase.STARTING else 0.02)
 
     def _tell_totals(self) -> None:
@@ -187,6 +191,17 @@
             await ending
 
 
+def give_back() -> None:
+    """Give memory that nothing uses back to the system.
+
+    Without it the heap grows all day round what is kept: what comes free lies between what does not.
+    """
+    gc.collect()
+    trim = getattr(ctypes.CDLL(None), "malloc_trim", None)  # glibc has it; elsewhere it is not needed
+    if trim is not None:
+        trim(0)
+
+
 def _watch(config: Config, batch: BatchConfig | None) -> DiscoveryWatch | InventoryWatch:
     """Where the registry comes from: the platform's discovery, or a file of ours."""
     if batch is not None and batch.inventory is not None:
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Any, Protocol
 
 from hillridge.interface import Outcome
 
@@ -85,6 +85,7 @@
     reports: Reports
     outcome: Outcome | None = None  # None: still out
     heard_at: int = 0  # when the stream last brought something
+    timer: Any = None  # of its deadline, while that runs
     waits_for_client: bool = False  # reading is paused, since the client is slow
 
     @property
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -28,13 +28,20 @@
 log = structlog.get_logger()
 
 
+class Timer(Protocol):
+    """What was asked of the clock, and can be called off."""
+
+    def cancel(self) -> None:
+        """It is not wanted any more: nothing is kept for it."""
+
+
 class Timers(Protocol):
     """The clock, and a way to be called later."""
 
     def now(self) -> int:
         """Nanoseconds since the Unix epoch, never going back."""
 
-    def later(self, delay: int, callback: Callable[[], None]) -> None:
+    def later(self, delay: int, callback: Callable[[], None]) -> Timer:
         """Call back after so many nanoseconds."""
 
 
@@ -112,6 +119,8 @@
         for worker in left:
             self.workers.forget(worker)
         self._post(told)
+        # What discovery has named all day would be kept for ever: only what is still in use is.
+        self.registry.prune(self.balancer.replicas)
 
     def list_failed(self) -> None:
         """A call for the list has failed; the old list still holds."""
@@ -139,6 +148,8 @@
         delegation.heard_at = self.timers.now()
         if call.owner is None:
             call.owner = delegation
+            call.body = b""  # nothing is sent again for a call that streams, and streams are long
+            self._call_off(delegation)
             self._first_token(delegation)
             for other in call.delegations:
                 if other is not delegation and other.outcome is None:
@@ -172,6 +183,7 @@
         if delegation.outcome is not None:
             return
         delegation.outcome = outcome
+        self._call_off(delegation)
         call = delegation.call
         self.totals[f"outcome_{outcome.name.lower()}"] += 1
         if not call.answered:
@@ -252,9 +264,15 @@
             self.ended(delegation, api.Outcome.MOOT)
             return
         self.totals["delegations"] += 1
-        self.timers.later(deadline - now, lambda: self._timed_out(delegation))
+        delegation.timer = self.timers.later(deadline - now, lambda: self._timed_out(delegation))
         self.workers.start(delegation)
 
+    @staticmethod
+    def _call_off(delegation: Delegation) -> None:
+        if delegation.timer is not None:
+            delegation.timer.cancel()
+            delegation.timer = None
+
     def _timed_out(self, delegation: Delegation) -> None:
         # A stream that has begun has no deadline.
         if delegation.outcome is None and delegation.call.owner is not delegation:
@@ -270,7 +288,7 @@
 
     def _drop_if_over(self, call: Call) -> None:
         if call.over and self.calls.pop(call.number, None) is not None:
-            call.body = b""  # timers may hold the call itself a while longer
+            call.body = b""
 
     def _sweep(self) -> None:
         now = self.timers.now()
--- a/lockspoke/memory/numbers.py
+++ b/lockspoke/memory/numbers.py
@@ -29,7 +29,7 @@
         self._calls = 0
 
     def worker(self, uid: str) -> int:
-        """The number of a worker, for as long as the program runs."""
+        """The number of a worker, for as long as it is known."""
         number = self._workers.get(uid)
         if number is None:
             number = _hash(uid, _U32)
@@ -39,6 +39,10 @@
             self._taken.add(number)
         return number
 
+    def forget(self, uid: str) -> None:
+        """A worker that is gone for good: named again, it would get the same number, its hash."""
+        self._taken.discard(self._workers.pop(uid, -1))
+
     def call(self) -> int:
         """The next call's number; a client's id may come twice, this does not."""
         self._calls = (self._calls + 1) % (1 << 32)
--- a/lockspoke/memory/registry.py
+++ b/lockspoke/memory/registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from dataclasses import dataclass
 
 from hillridge.interface import ListEntry, ListKind, ListUpdate, ReplicaState
@@ -47,7 +47,7 @@
 
 
 class Registry:
-    """Every worker that a list has named in this life of the program."""
+    """The workers that lists have named, until they are gone and nothing speaks of them any more."""
 
     def __init__(self, numbers: Numbers, zones: Sequence[str]) -> None:
         self.numbers = numbers
@@ -87,9 +87,37 @@
                 if worker.number not in entries and worker.state != "gone":
                     worker.state = "gone"
                     left.append(worker)
+        for worker in self._superseded():
+            worker.state = "gone"
+            entries[worker.number] = ListEntry(worker.number, ReplicaState.GONE)
+            left.append(worker)
         kind = ListKind.CACHED if cached else ListKind.FULL if update.whole else ListKind.DELTA
         return ListUpdate(kind, tuple(entries.values())), left
 
+    def _superseded(self) -> list[Worker]:
+        """Workers at whose address a younger one listens: discovery has not yet noticed that they are gone.
+
+        Sent to, they would bring the younger one twice the work, and their old health and connections.
+        """
+        youngest: dict[tuple[str, int] | None, Worker] = {}
+        old: list[Worker] = []
+        for worker in self.workers.values():
+            if worker.state == "gone" or worker.endpoint is None:
+                continue
+            other = youngest.setdefault(worker.endpoint, worker)
+            if other.boot_ms != worker.boot_ms:
+                young = max(other, worker, key=lambda one: one.boot_ms)
+                youngest[worker.endpoint] = young
+                old.append(other if young is worker else worker)
+        return old
+
+    def prune(self, used: Container[int]) -> None:
+        """Forget the workers that are gone and of no more use to the decisions."""
+        for number, worker in list(self.workers.items()):
+            if worker.state == "gone" and number not in used:
+                del self.workers[number]
+                self.numbers.forget(worker.uid)
+
     def _entry(self, number: int, entry: Entry) -> ListEntry:
         return ListEntry(
             replica=number,
--- a/lockspoke/wire/batch_listener.py
+++ b/lockspoke/wire/batch_listener.py
@@ -425,6 +425,7 @@
         self.front = front
         self.stream = stream
         self.opened_at = self.active_at = asyncio.get_running_loop().time()
+        self.asked = True  # few clients, all of them known: none goes before another
         self.idle = True
         self._parser = RequestParser(front.file_limit + FORM_SLACK)
         self._pieces: list[Piece] = []
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -31,12 +31,15 @@
 HOST = "origin.svc"  # told to workers where an HTTP/1.0 client named none
 METHODS = {CALLS_PATH: "POST", READY_PATH: "GET"}
 WAITING = 4  # requests that one connection may have sent ahead; clients send one at a time
-IDLE = 60.0  # seconds a connection is kept between requests
-HALF = 30.0  # seconds a request may take to arrive
-LINGER = 2.0  # seconds that bad input is still read after its answer
+IDLE = 30.0  # seconds a connection is kept between requests
+CROWDED_IDLE = 2.0  # the same, once more than CROWDED of the places are taken
+CROWDED = 0.5
+FIRST = 2.25  # seconds a new connection may stand without a byte: it holds a place that others need
+HALF = 2.25  # seconds a request may take to arrive
+LINGER = 1.0  # seconds that a connection stays open after the answer to bad input
+LINGER_BYTES = 256 * 1024  # of bad input that are still read: what follows is not worth the CPU
 STALL = 20.0  # seconds a client may take nothing of its answer
-HELD_BYTES = 48 * 1024 * 1024  # of requests in all connections together
-BUSY_RETRY = SECOND  # advice with the overload reply to what would go past that
+BUSY_RETRY = SECOND  # advice with the overload reply to what would go past the bound on held bytes
 NOT_PASSED = {"connection", "content-length", "transfer-encoding", "expect", "keep-alive", "te", "trailer"}
 NOT_PASSED |= {"upgrade", "req-id", "req-deadline-ms", "proxy-connection"}
 STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
@@ -45,23 +48,28 @@
 class ClientFront:
     """Client connections of the platform's port."""
 
-    def __init__(self, core: Core, classes: Mapping[str, int], most: int, ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, core: Core, classes: Mapping[str, int], most: int, most_bytes: int, ready: Callable[[], bool]
+    ) -> None:
         self.core = core
-        self.classes = classes
         self.ready = ready
         self.draining = False
         self.held_bytes = 0
+        self.open_ids: set[str] = set()  # of calls that are owed an answer
         self.listener = Listener(lambda stream: ClientConnection(self, stream), most)
+        self.reconfigure(classes, most, most_bytes)
 
-    def reconfigure(self, classes: Mapping[str, int], most: int) -> None:
-        """New classes and a new bound from now on."""
+    def reconfigure(self, classes: Mapping[str, int], most: int, most_bytes: int) -> None:
+        """Classes, and the bounds on connections and on the bytes of requests, from now on."""
         self.classes = classes
         self.listener.most = most
+        self.most_bytes = most_bytes
 
     def sweep(self) -> None:
         """Close connections that stand idle, stalled, or amid a request for too long."""
         now = asyncio.get_running_loop().time()
-        self.listener.close_idle(IDLE)
+        crowded = len(self.listener.connections) > CROWDED * self.listener.most
+        self.listener.close_idle(CROWDED_IDLE if crowded else IDLE)
         self.listener.reclaim()
         for connection in list(self.listener.connections):
             assert isinstance(connection, ClientConnection)
@@ -75,11 +83,14 @@
         self.front = front
         self.stream = stream
         self.outbox = Outbox(stream)
+        self.ended = asyncio.Event()
         self.opened_at = self.active_at = asyncio.get_running_loop().time()
         self.gatherer = Gatherer()
         self.held = 0  # bytes of requests, read or half read
         self.waiting: deque[Request | HttpError] = deque()
         self.call: Call | None = None
+        self.asked = False  # whether a byte has ever come
+        self.spoilt = False  # what comes now is not read any more: where a message begins is not known
         self.closing = False
 
     @property
@@ -89,45 +100,76 @@
 
     async def run(self) -> None:
         """Read until the client closes; the read that is always pending notices that at once."""
+        dropped = 0
         try:
             while True:
                 data = await self.stream.read_bytes(READ, partial=True)
-                if not self.closing:
+                if not self.spoilt and not self.closing:
                     self._take(data)
+                    continue
+                dropped += len(data)
+                if self.closing and dropped > LINGER_BYTES:
+                    # Left unread, the rest blocks a client that sends on and on; the sweep closes soon.
+                    await self.ended.wait()
         except StreamClosedError:
             pass
         finally:
-            call, self.call = self.call, None
+            call = self._let_go()
             self._hold(0)  # without the call: its bytes are given back too, or the bound fills by and by
             if call is not None:
                 self.front.core.client_left(call)
 
     def check(self, now: float) -> None:
         """Guards against clients that take or send nothing for ever."""
-        if self.outbox.stalled(now, STALL) or (self.closing and now - self.active_at > LINGER):
+        if (
+            self.outbox.stalled(now, STALL)
+            or (self.closing and now - self.active_at > LINGER)
+            or (not self.asked and now - self.opened_at > FIRST)
+        ):
             self.stream.close()
-        elif self.call is None and not self.gatherer.idle and now - self.active_at > HALF:
+            self.ended.set()
+        elif (
+            self.call is None and not self.closing and not self.gatherer.idle and now - self.active_at > HALF
+        ):
             self._refuse_input(HttpError(408, "request took too long"))
 
     def _take(self, data: bytes) -> None:
+        self.asked = True
         self.active_at = self.active_at if not self.gatherer.idle else asyncio.get_running_loop().time()
         try:
             self.waiting.extend(self.gatherer.feed(data))
             if self.gatherer.wants_continue():
                 self.outbox.write(encode_head(100, {}))
         except HttpError as error:
-            self.waiting.append(error)
-        self._hold(
-            self.gatherer.size + sum(len(one.body) for one in self.waiting if isinstance(one, Request))
-        )
-        if len(self.waiting) > WAITING:
-            self.stream.close()
-        elif self.front.held_bytes > HELD_BYTES and self.call is None:
+            self._spoil(error)
+        if len(self.waiting) > WAITING and not self.spoilt:
+            # What came first is still answered: to close now would lose a call that was taken.
+            while len(self.waiting) > WAITING:
+                self.waiting.pop()
+            self._spoil(HttpError(503, "too many requests sent ahead"))
+        self._hold(self.gatherer.size + self._waiting_bytes())
+        if self.front.held_bytes > self.front.most_bytes and self.call is None:
             # Guards the memory limit: many large requests at once are turned away, not buffered.
             self._refuse_input(HttpError(503, "too many bytes held"))
         elif self.call is None:
             self._next()
 
+    def _spoil(self, error: HttpError) -> None:
+        """This is the last answer here, after those that are owed already; the rest goes unread."""
+        self.waiting.append(error)
+        self.spoilt = True
+        self.gatherer = Gatherer()
+
+    def _waiting_bytes(self) -> int:
+        return sum(len(one.body) for one in self.waiting if isinstance(one, Request))
+
+    def _let_go(self) -> Call | None:
+        """The call is answered, or its client gone."""
+        call, self.call = self.call, None
+        if call is not None:
+            self.front.open_ids.discard(call.req_id)
+        return call
+
     def _hold(self, size: int) -> None:
         size += len(self.call.body) if self.call is not None else 0
         self.front.held_bytes += size - self.held
@@ -162,6 +204,9 @@
         fields = decode_call(head.headers)
         if fields.kind not in self.front.classes:
             raise HttpError(400, "unknown Req-Kind")
+        if fields.req_id in self.front.open_ids:
+            # Sent on, a worker would take it for a second copy of another client's call.
+            raise HttpError(409, "Req-Id is in use")
         call = Call(
             sink=StreamedAnswer(self, request),
             request_class=self.front.classes[fields.kind],
@@ -179,8 +224,13 @@
             client_retry=fields.retry,
         )
         self.call = call
+        self.front.open_ids.add(call.req_id)
         self.front.core.submit(call)
 
+    def body_sent(self) -> None:
+        """The core needs the call's body no more."""
+        self._hold(self.gatherer.size + self._waiting_bytes())
+
     def whole(
         self, request: Request, status: int, text: str, headers: Mapping[str, str] | None = None
     ) -> None:
@@ -204,10 +254,10 @@
 
     def answered(self, keep: bool) -> None:
         """The answer is written: on to the next request, or close."""
-        self.call = None
+        self._let_go()
         self.active_at = asyncio.get_running_loop().time()
         if keep:
-            self._hold(sum(len(one.body) for one in self.waiting if isinstance(one, Request)))
+            self._hold(self.gatherer.size + self._waiting_bytes())
             self._next()
         else:
             self.closing = True
@@ -231,6 +281,7 @@
         if not self.begun:
             self.begun = True
             piece = self._head() + piece
+            self.connection.body_sent()
         return self.connection.outbox.write(piece)
 
     def _head(self) -> bytes:
--- a/lockspoke/wire/listener.py
+++ b/lockspoke/wire/listener.py
@@ -14,6 +14,7 @@
 
 BACKLOG = 1024
 READ = 16 * 1024
+TELL = 10.0  # seconds between two lines about the limit, however often it is met
 FRESH = 0.25  # seconds in which a new connection does not count as idle
 
 log = structlog.get_logger()
@@ -25,6 +26,7 @@
     stream: IOStream
     opened_at: float
     active_at: float
+    asked: bool
 
     @property
     def idle(self) -> bool:
@@ -42,6 +44,7 @@
         self.most = most
         self.connections: set[Connection] = set()
         self.last_accept = 0.0
+        self._told_at = -TELL
         self._tasks: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
         self._remove: Callable[[], None] | None = None
@@ -68,7 +71,8 @@
             one for one in self.connections if one.idle and one.active_at < before and not one.stream.closed()
         ]
         if idle:
-            min(idle, key=lambda one: one.active_at).stream.close()
+            # Those that have never sent a byte go first: hundreds of them must not crowd out the others.
+            min(idle, key=lambda one: (one.asked, one.active_at)).stream.close()
         return bool(idle)
 
     def reclaim(self) -> None:
@@ -88,7 +92,9 @@
         task.add_done_callback(lambda done: self._ended(connection, done))
         if self._open() > self.most and not self._make_room() and self._remove is not None:
             # One past the bound and none idle: what comes next waits in the machine's queue.
-            log.warning("clients_at_limit", connections=len(self.connections))
+            if self.last_accept - self._told_at > TELL:
+                self._told_at = self.last_accept
+                log.warning("clients_at_limit", connections=len(self.connections))
             self._remove()
             self._remove = None
 
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -251,4 +251,6 @@
         return Outcome.OK
     if head.status in (503, 504) and head.headers.get("srv-declined") == "1":
         return Outcome.FULL
+    if 400 <= head.status < 500 and head.status not in (408, 429):
+        return Outcome.REJECTED  # a client's fault is no sign of a sick worker
     return Outcome.ERROR
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Awaitable, Callable
 
@@ -24,10 +25,13 @@
 
     def __init__(self) -> None:
         self.world = World()
-        self.front = ClientFront(self.world.core, {"docs": 0}, 8, lambda: True)
+        self.front = ClientFront(self.world.core, {"docs": 0}, 8, 48_000_000, lambda: True)
+        self.join(self.front)
+
+    def join(self, front: ClientFront) -> None:
         self.client, served = socket.socketpair()
         served.setblocking(False)
-        self.connection = ClientConnection(self.front, IOStream(served))
+        self.connection = ClientConnection(front, IOStream(served))
         self.task = asyncio.ensure_future(self.connection.run())
 
     def send(self, data: bytes) -> None:
@@ -38,7 +42,9 @@
         self.client.setblocking(False)
         async with asyncio.timeout(30):
             while mark not in got:
-                got += await asyncio.get_running_loop().sock_recv(self.client, 65536)
+                data = await asyncio.get_running_loop().sock_recv(self.client, 65536)
+                assert data, got
+                got += data
         return got
 
     async def leave(self) -> None:
@@ -81,10 +87,9 @@
         play(test)
 
 
-def test_past_the_bound_on_held_bytes_a_call_is_turned_away(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "HELD_BYTES", 1000)
-
+def test_past_the_bound_on_held_bytes_a_call_is_turned_away() -> None:
     async def test(pair: Pair) -> None:
+        pair.front.most_bytes = 1000
         pair.send(call_bytes(1, body=BODY))
         answer = await pair.read(b"held\n")
         assert answer.startswith(b"HTTP/1.1 503 ") and b"Retry-After: 1.000" in answer
@@ -116,8 +121,90 @@
         pair.world.started[0].ended(Outcome.OK)
         answer = await pair.read(b"ready\n")
         assert answer.index(EVENTS[0]) < answer.index(b"0\r\n\r\n") < answer.index(b"ready\n")
-        pair.send(call_bytes(2) * 10)
-        await asyncio.wait_for(pair.task, 30)  # a client that sends far ahead is cut off
+
+    play(test)
+
+
+def test_what_comes_behind_a_call_never_costs_it_its_answer() -> None:
+    """Requests by the hundred, or noise, used to end the connection with a call still out: it was lost."""
+
+    async def ahead(pair: Pair) -> None:
+        pair.send(b"".join(call_bytes(number) for number in range(1, 200)))
+        for number in range(clients.WAITING):
+            await until(lambda number=number: len(pair.world.started) == number + 1)  # type: ignore[misc]
+            pair.world.started[number].streamed(EVENTS[0])
+            pair.world.started[number].ended(Outcome.OK)
+        answer = await pair.read(b"ahead\n")
+        assert answer.count(EVENTS[0]) == clients.WAITING and b"HTTP/1.1 503 " in answer
+        assert pair.front.held_bytes == 0 and not pair.front.open_ids
+        await pair.leave()
+
+    async def noise(pair: Pair) -> None:
+        pair.send(call_bytes(1) + b"\x00\r\n\r\n")
+        for _ in range(20):
+            pair.send(b"noise\r\n\r\n")
+            await asyncio.sleep(0)
+        await until(lambda: bool(pair.world.started))
+        pair.world.started[0].streamed(EVENTS[0])
+        pair.world.started[0].ended(Outcome.OK)
+        answer = await pair.read(b"an error\n")
+        assert EVENTS[0] in answer and answer.count(b"HTTP/1.1 400 ") == 1
+        await pair.leave()
+
+    for test in (ahead, noise):
+        play(test)
+
+
+def test_the_id_of_an_open_call_is_refused_and_free_again_after_its_answer() -> None:
+    async def test(pair: Pair) -> None:
+        pair.send(call_bytes(1))
+        await until(lambda: bool(pair.world.started))
+        first, other = pair.client, Pair()
+        other.join(pair.front)
+        other.send(call_bytes(1))
+        assert b"HTTP/1.1 409 " in await other.read(b"in use\n")
+        pair.world.started[0].streamed(EVENTS[0])
+        pair.world.started[0].ended(Outcome.OK)
+        other.send(call_bytes(1))
+        await until(lambda: len(pair.world.started) == 2)
+        assert pair.client is first
+        await other.leave()
+        await pair.leave()
+        assert not pair.front.open_ids
+
+    play(test)
+
+
+def test_a_silent_connection_is_closed_and_one_that_has_asked_is_kept() -> None:
+    async def test(pair: Pair) -> None:
+        late = asyncio.get_running_loop().time() + clients.FIRST + 0.1
+        silent = Pair()
+        pair.send(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+        await pair.read(b"ready\n")
+        for one in (pair, silent):
+            one.connection.check(late)
+        await asyncio.wait_for(silent.task, 30)
+        assert not pair.task.done()
+        await pair.leave()
+
+    play(test)
+
+
+def test_of_a_body_far_too_large_only_the_beginning_is_read() -> None:
+    """60 MB read and dropped took the CPU of everybody else."""
+
+    async def test(pair: Pair) -> None:
+        pair.send(call_bytes(1).replace(b"Content-Length: 2", b"Content-Length: 60000000"))
+        assert b"HTTP/1.1 413 " in await pair.read(b"too large\n")
+        sent, loop = 0, asyncio.get_running_loop()
+        with contextlib.suppress(TimeoutError, OSError):
+            async with asyncio.timeout(0.3):
+                while True:
+                    await loop.sock_sendall(pair.client, b"x" * 65536)
+                    sent += 65536
+        assert clients.LINGER_BYTES <= sent < 8_000_000
+        pair.connection.check(loop.time() + clients.LINGER + 0.1)
+        await asyncio.wait_for(pair.task, 30)
 
     play(test)
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -39,6 +39,15 @@
         self.got.append("failed")
 
 
+class Timer:
+    def __init__(self, due: list[Any], one: Any) -> None:
+        self.due, self.one = due, one
+
+    def cancel(self) -> None:
+        if self.one in self.due:
+            self.due.remove(self.one)
+
+
 class World:
     """Everything round the core, and a clock that only moves when told to."""
 
@@ -56,8 +65,9 @@
     def now(self) -> int:
         return self.time
 
-    def later(self, delay: int, callback: Callable[[], None]) -> None:
+    def later(self, delay: int, callback: Callable[[], None]) -> Timer:
         self.due.append((self.time + delay, callback))
+        return Timer(self.due, self.due[-1])
 
     def start(self, delegation: Delegation) -> None:
         self.started.append(delegation)
@@ -117,6 +127,48 @@
     assert world.started[0].worker is not world.started[1].worker
 
 
+def test_what_a_call_no_longer_needs_is_not_kept() -> None:
+    """Bodies of streams and timers of calls long over made the heap grow all day."""
+    world = World()
+    call, _ = world.call()
+    assert len(world.due) == 2  # the decisions' own and the delegation's
+    world.started[0].streamed(b"a")
+    assert call.body == b"" and len(world.due) == 1
+    world.started[0].ended(Outcome.OK)
+    for _ in range(50):
+        world.call()
+        world.started[-1].ended(Outcome.ERROR)
+        world.started[-1].streamed(b"a")
+        world.started[-1].ended(Outcome.OK)
+    assert len(world.due) == 1
+
+
+def test_workers_come_and_go_and_only_those_in_use_are_kept() -> None:
+    world = World()
+    for n in range(300):
+        world.time += SECOND
+        new = Entry(f"n{n}", "ready", ("127.0.0.1", 7000 + n), "z")
+        old = Entry(f"n{n - 1}", "gone", None, "z")
+        world.core.list_changed(RegistryUpdate(2 + n, False, (new, old) if n else (new,)))
+    registry = world.core.registry
+    assert len(registry.workers) < 50 and len(registry.numbers._workers) < 50
+    assert registry.ready == 3
+
+
+def test_a_younger_worker_at_an_address_ends_the_older_one() -> None:
+    """Discovery tells late that a machine has vanished; its name would bring its heir twice the work."""
+    world = World()
+    heir = Entry("heir", "ready", ("127.0.0.1", 5000), "z", boot_ms=world.time // MS - 100)
+    world.core.list_changed(RegistryUpdate(2, False, (heir,)))
+    assert [worker.uid for worker in world.forgotten] == ["w0"]
+    for _ in range(8):
+        world.call()
+    assert "w0" not in {delegation.worker.uid for delegation in world.started}
+    both = tuple(Entry(f"w{i}", "ready", ("127.0.0.1", 5000 + i), "z") for i in range(2))
+    world.core.list_changed(RegistryUpdate(3, True, (heir, *both)))  # it is still listed, and still gone
+    assert {w.uid for w in world.core.registry.workers.values() if w.state == "ready"} == {"heir", "w1"}
+
+
 def test_the_deadline_ends_what_does_not_stream_and_nothing_else() -> None:
     world = World(workers=1)
     (_, silent), (_, streaming) = world.call(), world.call()
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -5,7 +5,7 @@
 import math
 
 from hillridge import interface as api
-from hillridge.policy import FULL_PAUSE, REPORT_LIVES
+from hillridge.policy import FULL_PAUSE, REPORT_LIVES, State
 
 from .helpers import MS, SECOND, World, settings
 
@@ -68,6 +68,28 @@
     assert any(world.sent_to(world.arrive(number)) == [1] for number in range(100, 120))
 
 
+def test_a_request_that_replicas_find_at_fault_fails_without_a_word_against_them() -> None:
+    """Bad clients' requests went to three replicas each and opened breakers of healthy ones."""
+    world = World(settings(max_attempts=3), replicas=(1, 2, 3))
+    for number in range(1, 30):
+        world.arrive(number)
+        world.end(number, api.Outcome.REJECTED)
+        world.end(number, api.Outcome.REJECTED)
+        assert world.calls[number].final == "Fail" and len(world.calls[number].attempts) == 2
+    assert all(replica.breaker.failures == 0 for replica in world.balancer.replicas.values())
+
+
+def test_a_replica_that_finds_fault_with_what_another_serves_is_itself_at_fault() -> None:
+    world = World(settings(max_attempts=3), replicas=(1, 2, 3))
+    for number in range(1, 60):
+        world.arrive(number)
+        if world.calls[number].attempts[0][0] == 1:
+            world.end(number, api.Outcome.REJECTED)
+        world.first_token(number)
+        world.end(number, api.Outcome.OK)
+    assert world.balancer.replicas[1].breaker.state is State.OPEN
+
+
 def test_a_replica_that_turns_away_at_once_is_full_for_all() -> None:
     world = World(settings(max_attempts=9), replicas=(1,))
     world.arrive(1)
