After SIGTERM, what is still open shortly before the kill is handed over

Seen: a call that came more than 0.7 s after SIGTERM and is open at the kill is lost; while new connections kept coming the listener took more for 3 s, and streams run up to 25 s (lifecycle/program.py, _drain). Now, where the settings say that clients ask for the rest, 0.3 s before the platform may kill streams end without their end and calls not begun get an overload reply; accepting ends after 2 s at the latest.

--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -41,6 +41,7 @@
     deadlines: tuple[int, ...]  # by class
     zones: tuple[str, ...]
     load_names: tuple[str, ...]
+    resumes: bool  # clients ask for the rest of a stream that ends early
     connect_timeout: int
     keepalive: int
 
@@ -49,6 +50,11 @@
         """The bytes of requests that may be held, as a part of what the interpreter leaves of the memory."""
         return max(1, min(48, (self.memory_mb - OWN_MEMORY_MB) // 3)) * MB
 
+    @property
+    def stop_time(self) -> float:
+        """Seconds that the platform surely leaves between SIGTERM and SIGKILL."""
+        return min(max(self.deadlines, default=3_000 * MS) / 1e9, 3.0) + 0.7
+
     def connections(self, others: int = 0) -> int:
         """The connections that each side, clients and workers, may take of the descriptors."""
         return max(8, (self.sockets - OWN_SOCKETS - others) // 2)
@@ -132,6 +138,7 @@
         ),
         zones=_words(settings, "zones"),
         load_names=_words(settings, "loadInfo.fields"),
+        resumes=_dig(settings, "familyInfo.resume", False) is True,
         connect_timeout=_whole(settings, "limits.connectTimeout", 100 * MS),
         keepalive=_whole(settings, "limits.keepalive", 10_000 * MS),
     )
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -31,9 +31,10 @@
 
 SWEEP = 0.25  # bad clients are owed an answer within 3 s
 TOTALS = 10.0  # seconds between two lines of totals
+HAND_OVER = 0.3  # seconds before the platform may kill: what is still open goes to other gateways
 KEEP_ACCEPTING = 0.7  # seconds after SIGTERM: clients hear late that this gateway stops
 QUIET = 0.3  # seconds without a new connection, or of an idle one, before it is closed
-LONGEST_ACCEPTING = 3.0
+LONGEST_ACCEPTING = 2.0
 
 log = structlog.get_logger()
 
@@ -184,12 +185,23 @@
             if quiet and loop.time() - began >= KEEP_ACCEPTING:
                 break
         listener.stop()
+        if self.config.resumes:
+            # What a kill finds open is lost; given away in time, clients ask for the rest elsewhere.
+            await self._until_answered(began + self.config.stop_time - HAND_OVER)
+            self.core.hand_over()
         while listener.connections or self.core.calls:
             listener.close_idle(QUIET)
             await asyncio.sleep(0.02)
         if ending is not None:
             await ending
 
+    async def _until_answered(self, end: float) -> None:
+        """Until no call is open, or that time has come."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < end and any(not call.answered for call in self.core.calls.values()):
+            self.clients.listener.close_idle(QUIET)
+            await asyncio.sleep(0.02)
+
 
 def give_back() -> None:
     """Give memory that nothing uses back to the system.
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -129,6 +129,33 @@
         if not self._asks:
             self.timers.later(SECOND, lambda: self.discovery.watch(True))
 
+    def hand_over(self) -> None:
+        """Give all calls away to other gateways, where clients ask for the rest of a stream that ends early.
+
+        A stream ends without its end, and its client goes on elsewhere; a call that has not begun gets an
+        overload reply if it may be repeated. What workers still run for them is of no use any more.
+        """
+        for call in list(self.calls.values()):
+            if not call.answered:
+                if call.owner is not None:
+                    self._answered(call, "handed_over")
+                    call.sink.broken()
+                elif self._repeatable(call):
+                    self._answered(call, "refused")
+                    call.sink.refuse(0)
+                else:
+                    self._answered(call, "failed")
+                    call.sink.fail()
+                self._post(api.ClientLeft(call.number))
+            for delegation in call.delegations:
+                if delegation.outcome is None:
+                    self.workers.stop(delegation)
+                    self.ended(delegation, api.Outcome.CANCELLED)
+
+    def _repeatable(self, call: Call) -> bool:
+        kind = self.balancer.settings.classes[call.request_class]
+        return kind.effect is api.Effect.SAFE or not call.delegations
+
     def live_held(self) -> bool:
         """Whether a call that somebody waits for is held, since no worker has room for it."""
         return any(
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -183,6 +183,19 @@
     assert streaming.got[-1] == "end" and not world.core.calls
 
 
+def test_what_is_handed_over_can_be_asked_for_elsewhere() -> None:
+    """Calls that a kill found open after a planned stop were lost."""
+    world = World()
+    calls = [world.call() for _ in range(3)]
+    world.started[0].streamed(b"a")
+    world.core.hand_over()
+    assert [sink.got for _, sink in calls] == [[b"a", "broken"], ["refused"], ["refused"]]
+    assert not world.core.calls and len(world.stopped) == 3
+    assert not world.core.balancer.requests
+    world.core.hand_over()
+    assert calls[0][1].got == [b"a", "broken"]
+
+
 def test_without_workers_the_answer_is_an_overload_reply_at_once() -> None:
     world = World(workers=0)
     _, sink = world.call()
