--- a/tests/standins.py
+++ b/tests/standins.py
@@ -157,7 +157,9 @@
         options: Any = (),
         sockets: int = 1024,
         keepalive: int = 10 * SECOND,
+        **settings: Any,
     ) -> None:
+        self.settings = settings
         self.sockets = sockets
         self.keepalive = keepalive
         self.known = {"rev": 1, "all": True, "targets": [target(worker) for worker in workers]}
@@ -174,7 +176,7 @@
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": self.known,
-            "settings": SETTINGS | {"limits": SETTINGS["limits"] | {"keepalive": self.keepalive}},
+            "settings": SETTINGS | {"limits": SETTINGS["limits"] | {"keepalive": self.keepalive}} | self.settings,
         }
         self.config.write_text(json.dumps(self.raw_config))
         env = os.environ | {
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -294,6 +294,34 @@
         assert await program.process.wait() == 0
 
 
+@run
+async def test_sigterm_hands_over_what_would_be_open_when_the_kill_comes() -> None:
+    """Where clients ask for the rest: a stream without an end would be lost with the program."""
+    async with FakeWorker(says(HEAD + chunk(EVENTS[0]))) as worker:
+        program = Program(worker, familyInfo={"resume": True})
+        async with program, Client(program.port) as client:
+            asked = asyncio.ensure_future(client.ask(call_bytes(1)))
+            await until(lambda: len(worker.seen) == 1)
+            assert await program.terminate() == 0
+            assert (await asked)[2:] == (EVENTS[0], False)
+            assert program.log("totals", handed_over=1) is not None
+
+
+@run
+async def test_hundreds_of_silent_connections_do_not_crowd_out_those_that_ask() -> None:
+    async with FakeWorker() as worker, Program(worker, sockets=120) as program:
+        silent = [socket.create_connection(("127.0.0.1", program.port)) for _ in range(300)]
+        for number in range(1, 6):
+            async with Client(program.port) as client:
+                assert (await client.ask(call_bytes(number)))[0] == 200
+        for one in silent:
+            one.settimeout(6.0)  # owed within 3 s of connecting; the rest is for a busy machine
+            with contextlib.suppress(ConnectionError):
+                assert one.recv(1) == b""
+            one.close()
+        assert len([line for line in program.logs if line["event"] == "clients_at_limit"]) <= 2
+
+
 @run
 async def test_a_client_that_reads_nothing_holds_up_its_worker_and_not_the_memory() -> None:
     sent = 0
