Resets on kept connections weigh less, and those connections are kept for less time

At fault: wire/workers.py kept connections for 0.8 of the settings' time whatever happened to them, and the module could not tell a break on a kept connection from one on a new one (UNREACHED_WEIGHT). Now such a break weighs one, closes the worker's other idle connections, and halves the time that its next ones are kept, down to 0.25 s. The outcome stays a reset: nothing is sent again unasked.

--- a/hillridge/interface.py
+++ b/hillridge/interface.py
@@ -154,6 +154,7 @@
     closed: bool  # the request has its final answer, by this outcome or before it
     kept_tokens: int = 0
     report: tuple[float, ...] = ()
+    reused: bool = False  # on a connection kept from before: that it broke says little of the replica
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -337,7 +337,7 @@
                 unread = min(attempt.unread, request.arrived.prompt_tokens - event.kept_tokens)
                 self._note_done(max(0.0, unread) + ANSWER_TOKENS)
         elif event.outcome in COUNTED:
-            weight = UNREACHED_WEIGHT if event.outcome in UNREACHED else 1
+            weight = UNREACHED_WEIGHT if event.outcome in UNREACHED and not event.reused else 1
             breaker.failed(self.now, weight > 1 or self._may_open(), weight)
             if before is State.CLOSED and breaker.state is State.OPEN:
                 # It comes back to a few requests and earns more: all gateways find it empty at once.
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -84,6 +84,7 @@
     deadline: int
     reports: Reports
     outcome: Outcome | None = None  # None: still out
+    reused: bool = False  # it goes over a connection kept from before
     heard_at: int = 0  # when the stream last brought something
     timer: Any = None  # of its deadline, while that runs
     waits_for_client: bool = False  # reading is paused, since the client is slow
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -224,7 +224,15 @@
         number = delegation.worker.number
         self._post(
             api.AttemptEnded(
-                call.number, delegation.index, number, outcome, elapsed, call.answered, kept, report
+                call.number,
+                delegation.index,
+                number,
+                outcome,
+                elapsed,
+                call.answered,
+                kept,
+                report,
+                delegation.reused,
             )
         )
         self._drop_if_over(call)
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -22,6 +22,7 @@
 READ = 16 * 1024
 OPENING = 1.0  # seconds from an answer's first byte to its first event: both come with the first token
 SETTLE = 0.01  # seconds in which what a worker sends behind an answer shows, before the connection is reused
+SHORTEST_KEPT = 0.25  # seconds a connection may stand idle, however soon a worker closes them
 IDLE_SHARE = 0.8  # of the time after which a worker closes an idle connection: ours closes before
 
 log = structlog.get_logger()
@@ -43,6 +44,8 @@
         self.endpoint = worker.endpoint
         self.stream = stream
         self.idle_since = 0.0
+        self.stood = 0.0  # how long it had stood idle when it was taken for a delegation
+        self.answering = False  # whether a byte of the present answer has come
         self.pending: asyncio.Future[bytes] = self._read()
 
     def _read(self) -> asyncio.Future[bytes]:
@@ -54,6 +57,7 @@
     async def read(self) -> bytes:
         """The next bytes."""
         data = await self.pending
+        self.answering = True
         self.pending = self._read()
         return data
 
@@ -73,6 +77,7 @@
         self.now = now
         self.open = 0
         self.spoilt = 0  # answers that could not be read
+        self.limits: dict[int, float] = {}  # by worker, seconds, where it closes sooner than the settings say
         self.idle: dict[int, deque[Connection]] = {}  # by worker, the one used last at the right
         self.tasks: dict[Delegation, asyncio.Task[None]] = {}
 
@@ -101,11 +106,14 @@
         """Close the idle connections to a worker."""
         for connection in self.idle.pop(worker.number, ()):
             self._close(connection)
+        if worker.state == "gone":
+            self.limits.pop(worker.number, None)
 
     def sweep(self) -> None:
         """Close what has stood idle for long: the worker would, and a request written then is lost."""
-        oldest = asyncio.get_running_loop().time() - self.idle_limit
+        now = asyncio.get_running_loop().time()
         for number, connections in list(self.idle.items()):
+            oldest = now - self.limits.get(number, self.idle_limit)
             while connections and connections[0].idle_since <= oldest:
                 self._close(connections.popleft())
             if not connections:
@@ -117,12 +125,17 @@
         connection = None
         try:
             connection = await self._acquire(delegation.worker)
+            delegation.reused = connection.stood > 0.0
             outcome, kept, load, reusable = await self._exchange(connection, delegation)
             if reusable:
                 self._release(connection)
                 connection = None
+            elif outcome is Outcome.RESET and not connection.answering:
+                self._was_stale(connection)
             delegation.ended(outcome, kept, decode_load(load, self.load_names))
         except ConnectError:
+            if connection is not None:
+                self._was_stale(connection)
             delegation.ended(Outcome.CONNECT_FAILED)
         except NoRoomError:
             delegation.ended(Outcome.MOOT)
@@ -193,6 +206,8 @@
         for connection in [one for one in reversed(connections) if one.idle_since <= settled]:
             connections.remove(connection)
             if not connection.stream.closed() and not connection.pending.done():
+                connection.stood = asyncio.get_running_loop().time() - connection.idle_since
+                connection.answering = False
                 return connection
             self._close(connection)
         if self.open >= self.most:
@@ -216,6 +231,18 @@
                 raise ConnectError from None
             raise
 
+    def _was_stale(self, connection: Connection) -> None:
+        """A kept connection broke under its next request: this worker closes them sooner than it should.
+
+        Its others are as old or older, and later ones are kept for half as long as this one stood.
+        """
+        worker = connection.worker
+        if connection.stood <= 0.0 or worker.state == "gone":
+            return
+        self.forget(worker)
+        limit = self.limits.get(worker.number, self.idle_limit)
+        self.limits[worker.number] = max(SHORTEST_KEPT, min(limit, connection.stood / 2))
+
     def _make_room(self) -> None:
         """Close the connection idle for longest, whichever worker's; the descriptors are bounded."""
         queues = [queue for queue in self.idle.values() if queue]
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -176,7 +176,9 @@
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": self.known,
-            "settings": SETTINGS | {"limits": SETTINGS["limits"] | {"keepalive": self.keepalive}} | self.settings,
+            "settings": SETTINGS
+            | {"limits": SETTINGS["limits"] | {"keepalive": self.keepalive}}
+            | self.settings,
         }
         self.config.write_text(json.dumps(self.raw_config))
         env = os.environ | {
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -297,14 +297,23 @@
 @run
 async def test_sigterm_hands_over_what_would_be_open_when_the_kill_comes() -> None:
     """Where clients ask for the rest: a stream without an end would be lost with the program."""
-    async with FakeWorker(says(HEAD + chunk(EVENTS[0]))) as worker:
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD)
+        with contextlib.suppress(ConnectionError):
+            while not writer.is_closing():
+                writer.write(chunk(EVENTS[0]))
+                await asyncio.sleep(0.1)
+
+    async with FakeWorker(script) as worker:
         program = Program(worker, familyInfo={"resume": True})
         async with program, Client(program.port) as client:
             asked = asyncio.ensure_future(client.ask(call_bytes(1)))
             await until(lambda: len(worker.seen) == 1)
             assert await program.terminate() == 0
-            assert (await asked)[2:] == (EVENTS[0], False)
-            assert program.log("totals", handed_over=1) is not None
+            status, _, body, whole = await asked
+            assert (status, whole) == (200, False) and body.startswith(EVENTS[0])
+            await until(lambda: program.log("totals", handed_over=1) is not None)
 
 
 @run
@@ -384,6 +393,28 @@
         assert len(worker.writers) == 2
 
 
+@run
+async def test_connections_are_kept_for_less_where_a_worker_closes_them_early() -> None:
+    answered: set[asyncio.StreamWriter] = set()
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        if writer in answered:  # it has forgotten this one, and says so at the next request only
+            return writer.transport.abort()
+        answered.add(writer)
+        writer.write(HEAD + chunk(TAIL) + chunk(b""))
+        return None
+
+    async with FakeWorker(script) as worker, Program(worker) as program, Client(program.port) as client:
+        number = status = 0
+        while len(worker.seen) == len(worker.writers):
+            number += 1
+            status = (await client.ask(call_bytes(number)))[0]
+        assert status == 502  # it may have run: nothing goes out a second time unasked
+        for number in range(100, 103):
+            assert (await client.ask(call_bytes(number)))[0] == 200
+            await until(lambda: worker.closed == len(worker.writers))  # idle for a quarter of a second
+
+
 @pytest.mark.parametrize("raw", ["", "[]", '{"settings": {}}', '{"listen": "a"}'])
 def test_a_bad_configuration_ends_with_one_plain_line(tmp_path: Any, raw: str) -> None:
     path = tmp_path / "config.json"
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -90,6 +90,23 @@
     assert world.balancer.replicas[1].breaker.state is State.OPEN
 
 
+def test_a_reset_on_a_kept_connection_says_less_than_one_on_a_new_one() -> None:
+    """Workers that closed idle connections early had their breakers opened by two of them."""
+    opened = []
+    for reused in (True, False):
+        world = World(settings(max_attempts=1), replicas=(1, 2, 3, 4))
+        for number in range(1, 9):
+            world.arrive(number)
+            replica, sent = world.calls[number].attempts[0]
+            world.calls[number].outcomes[0] = api.Outcome.RESET
+            world.calls[number].final = "Fail"
+            elapsed = world.now - sent
+            world.step(api.AttemptEnded(number, 0, replica, api.Outcome.RESET, elapsed, True, reused=reused))
+        breakers = [replica.breaker for replica in world.balancer.replicas.values()]
+        opened.append(sum(breaker.state is State.OPEN for breaker in breakers))
+    assert opened[0] < opened[1]
+
+
 def test_a_replica_that_turns_away_at_once_is_full_for_all() -> None:
     world = World(settings(max_attempts=9), replicas=(1,))
     world.arrive(1)
