--- /dev/null
+++ b/lockspoke/inventory/files.py
@@ -0,0 +1,154 @@
+"""Sources on the disk: which files belong to an inventory, what they hold, and a cheap look for changes."""
+
+from __future__ import annotations
+
+import os
+import re
+import stat
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+from .limits import FILE_BYTES, FILES
+from .reading import FileText
+
+# What Ansible passes over in a folder of sources, and what editors leave beside a file they write.
+_IGNORED = re.compile(
+    r"^\.|~$|^#.*#$|\.(pyc|pyo|swp|swx|bak|rpm|md|txt|rst|orig|cfg|retry|tmp|part)$|^__pycache__$"
+)
+_VARS = {"group_vars": "group_vars", "host_vars": "host_vars"}
+_VARS_ENDINGS = ("", ".yml", ".yaml", ".json")
+
+
+def collect(paths: Sequence[Path]) -> list[FileText]:
+    """Read all files of an inventory, in the order in which they are merged.
+
+    A folder stands for the sources in it, in the order of their names. `group_vars/` and `host_vars/` beside
+    a source count. What can't be read is in the result with its error; nothing is raised.
+    """
+    found: list[FileText] = []
+    beside: dict[Path, None] = {}
+    for path in paths:
+        for source in _sources(path):
+            found.append(_read(source, "source"))
+            if len(found) > FILES:
+                return [*found, FileText(str(path), None, f"more than {FILES} files")]
+        beside.setdefault(path if path.is_dir() else path.parent)
+    for folder in beside:
+        for role in _VARS:
+            for subject, file in _variables(folder / role):
+                found.append(_read(file, role, subject))
+                if len(found) > FILES:
+                    return [*found, FileText(str(folder), None, f"more than {FILES} files")]
+    return found
+
+
+def signature(paths: Sequence[Path]) -> tuple[object, ...]:
+    """What changes when any file of an inventory is written, replaced, linked elsewhere or taken away.
+
+    Costs a stat for each file and reads none of them.
+    """
+    marks: list[object] = []
+    for path in paths:
+        for source in _sources(path):
+            marks.append(_mark(source))
+        folder = path if path.is_dir() else path.parent
+        for role in _VARS:
+            marks += [_mark(file) for _, file in _variables(folder / role)]
+    return tuple(marks)
+
+
+def folders(paths: Sequence[Path]) -> list[Path]:
+    """The folders in which a change can matter: of the sources, of their links' targets, of variables."""
+    found: dict[Path, None] = {}
+    for path in paths:
+        base = path if path.is_dir() else path.parent
+        found.setdefault(base)
+        for target in (path, *(_sources(path))):
+            try:
+                found.setdefault(target.resolve(strict=True).parent)
+            except (OSError, RuntimeError):
+                continue
+        for role in _VARS:
+            top = base / role
+            if top.is_dir():
+                found.setdefault(top)
+                for inner in top.iterdir():
+                    if inner.is_dir():
+                        found.setdefault(inner)
+    return [folder for folder in found if folder.is_dir()]
+
+
+def replaced(before: tuple[object, ...], after: tuple[object, ...]) -> bool:
+    """Whether files were put in place whole (another inode) rather than written where they are."""
+    old = {mark[0]: mark for mark in before if isinstance(mark, tuple)}
+    changed = [mark for mark in after if isinstance(mark, tuple) and old.get(mark[0]) != mark]
+    return all(mark[0] in old and mark[2] != old[mark[0]][2] for mark in changed)
+
+
+def _sources(path: Path) -> Iterator[Path]:
+    try:
+        if not path.is_dir():
+            yield path
+            return
+        names = sorted(os.listdir(path))
+    except OSError:
+        yield path  # reading it tells what is wrong
+        return
+    for name in names:
+        if _IGNORED.search(name) or name in _VARS:
+            continue
+        inner = path / name
+        if inner.is_dir():
+            yield from _sources(inner)
+        else:
+            yield inner
+
+
+def _variables(folder: Path) -> Iterator[tuple[str, Path]]:
+    """Files of variables with their subjects: NAME, NAME.yml, or a folder NAME with files in it."""
+    try:
+        names = sorted(os.listdir(folder))
+    except OSError:
+        return
+    for name in names:
+        if _IGNORED.search(name):
+            continue
+        inner = folder / name
+        if inner.is_dir():
+            try:
+                parts = sorted(os.listdir(inner))
+            except OSError:
+                yield name, inner
+                continue
+            for part in parts:
+                if not _IGNORED.search(part) and os.path.splitext(part)[1] in _VARS_ENDINGS:
+                    yield name, inner / part
+            continue
+        stem, ending = os.path.splitext(name)
+        if ending in _VARS_ENDINGS[1:]:
+            yield stem, inner
+        else:
+            yield name, inner  # a host's name has dots of its own
+
+
+def _read(path: Path, role: str, subject: str = "") -> FileText:
+    try:
+        # A pipe or a device would hold up the reader for good: regular files only.
+        handle = os.open(path, os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+        with open(handle, "rb") as file:
+            status = os.fstat(file.fileno())
+            if not stat.S_ISREG(status.st_mode):
+                return FileText(str(path), None, "not a regular file", role, subject)
+            data = file.read(FILE_BYTES + 1)
+    except OSError as error:
+        return FileText(str(path), None, error.strerror or type(error).__name__, role, subject)
+    script = role == "source" and bool(status.st_mode & 0o111) and data.startswith(b"#!")
+    return FileText(str(path), data, "", role, subject, script)
+
+
+def _mark(path: Path) -> tuple[object, ...]:
+    try:
+        status = path.stat()
+    except OSError as error:
+        return str(path), error.errno, -1, -1
+    return str(path), status.st_dev, status.st_ino, status.st_mtime_ns, status.st_size, status.st_mode
--- /dev/null
+++ b/lockspoke/inventory/problems.py
@@ -0,0 +1,147 @@
+"""What can be wrong with an inventory: a catalogue of stable codes, and problems that name their place."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import NamedTuple
+
+
+class Place(NamedTuple):
+    """Where something stands: a file and, from 1 on, the line and column there (0: the file as a whole)."""
+
+    file: str
+    line: int = 0
+    column: int = 0
+
+    def __str__(self) -> str:
+        """As compilers write it: file:line:column."""
+        return ":".join([self.file, *(str(part) for part in (self.line, self.column) if part)])
+
+
+class Severity(Enum):
+    """How far a problem reaches."""
+
+    ERROR = "error"  # what it concerns is not taken: a host is held back, or a file is not believed
+    WARNING = "warning"  # taken, but probably not what was meant
+
+
+@dataclass(frozen=True, slots=True)
+class Code:
+    """One kind of problem; `ident` never changes its meaning."""
+
+    ident: str
+    name: str
+    severity: Severity
+    says: str  # what it means and what becomes of the rows concerned
+
+
+def _error(ident: str, name: str, says: str) -> Code:
+    return Code(ident, name, Severity.ERROR, says)
+
+
+def _warning(ident: str, name: str, says: str) -> Code:
+    return Code(ident, name, Severity.WARNING, says)
+
+
+# Files
+UNREADABLE = _error("INV101", "unreadable", "A source is missing or can't be read; its hosts are held.")
+NOT_UTF8 = _error("INV102", "not-utf8", "A source isn't UTF-8 text; its hosts are held.")
+TOO_LARGE = _error("INV103", "too-large", "A source, line or value is past the size that is read.")
+SYNTAX = _error("INV104", "syntax", "The form is broken here, and what follows is not read.")
+TOO_DEEP = _error("INV105", "too-deep", "Nesting, aliases or hosts beyond what is read.")
+UNKNOWN_FORM = _error("INV106", "unknown-form", "Neither the name nor the text tells which form it has.")
+NO_WORKERS = _error("INV107", "no-workers", "A source names no host at all.")
+SCRIPT = _warning("INV108", "script", "An executable inventory script is never run here; it is passed over.")
+ENCRYPTED = _warning("INV109", "encrypted", "A file under a vault key is passed over.")
+# Structure
+UNKNOWN_COLUMN = _warning("INV201", "unknown-column", "A column that no setting names is not used.")
+NO_NAME_COLUMN = _error("INV202", "no-name-column", "A CSV file's header has no column for the name.")
+REPEATED_COLUMN = _error("INV203", "repeated-column", "Two columns of one header stand for the same thing.")
+CELL_COUNT = _error("INV204", "cell-count", "A row has more or fewer cells than the header.")
+GROUP_KEY = _error("INV205", "group-key", "A group holds hosts, children and vars, nothing else.")
+SHAPE = _error("INV206", "shape", "A mapping, a list or a plain value stands where another is wanted.")
+REPEATED_KEY = _error("INV207", "repeated-key", "One mapping has a key twice.")
+RANGE = _error("INV208", "range", "A host range that can't be expanded.")
+GROUP_LOOP = _error("INV209", "group-loop", "A group is its own ancestor.")
+UNDEFINED_GROUP = _error("INV210", "undefined-group", "A child group that is defined nowhere.")
+ASSIGNMENT = _error("INV211", "assignment", "Something that is no key=value where one is wanted.")
+PRIORITY = _error("INV212", "priority", "ansible_group_priority is no whole number.")
+STRAY_VARS = _warning("INV213", "stray-vars", "Variables for a host or group that no source names.")
+# Values
+NO_NAME = _error("INV301", "no-name", "A row without a name.")
+BAD_NAME = _error("INV302", "bad-name", "A name with characters that no worker's name may have.")
+NO_ADDRESS = _error("INV303", "no-address", "A worker without a host or port.")
+BAD_PORT = _error("INV304", "bad-port", "A port that isn't a whole number from 1 to 65535.")
+BAD_HOST = _error("INV305", "bad-host", "A host that is no IP address, where look-ups are not allowed.")
+UNUSABLE_HOST = _error("INV306", "unusable-host", "An address that nothing can be sent to.")
+UNKNOWN_ZONE = _error("INV307", "unknown-zone", "A zone that the settings don't name.")
+UNKNOWN_KIND = _error("INV308", "unknown-kind", "A kind that the settings don't name.")
+BAD_NUMBER = _error("INV309", "bad-number", "A weight or cell that is no number in its range.")
+UNKNOWN_STATE = _error("INV310", "unknown-state", "A state other than up, draining or removed.")
+BAD_LABEL = _error("INV311", "bad-label", "Labels that are not name=value pairs.")
+TEMPLATE = _error("INV312", "template", "A value that needs templating, which is not done here.")
+VAULT = _error("INV313", "vault", "A value under a vault key.")
+MISSING = _error("INV314", "missing", "A value that the settings require.")
+# Between rows
+TWICE = _error("INV401", "name-twice", "Two rows have one name.")
+SAME_ADDRESS = _error("INV402", "same-address", "Two workers have one address.")
+TWO_KINDS = _error("INV403", "two-kinds", "A host stands under two kinds.")
+TWO_ZONES = _error("INV404", "two-zones", "A host stands under two zones.")
+DISAGREE = _error("INV405", "sources-disagree", "Two sources give a host different values.")
+CONTRADICTS = _warning("INV406", "contradicts-group", "A host's own value goes against its group's.")
+NOTHING_SELECTED = _warning("INV501", "nothing-selected", "The pattern selects no host.")
+
+CODES = {code.ident: code for code in list(globals().values()) if isinstance(code, Code)}
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One thing that is wrong: where, what, what it clashes with, and what to write instead."""
+
+    code: Code
+    place: Place
+    message: str
+    mend: str = ""
+    clash: Place | None = None
+    host: str = ""  # the worker concerned, where it has a name
+
+    @property
+    def severity(self) -> Severity:
+        """As its code says."""
+        return self.code.severity
+
+    @property
+    def is_error(self) -> bool:
+        """Whether something is not taken because of it."""
+        return self.code.severity is Severity.ERROR
+
+    def __str__(self) -> str:
+        """What is wrong, what it clashes with, and the mend."""
+        clash = f" (see {self.clash})" if self.clash is not None else ""
+        mend = f"; {self.mend}" if self.mend else ""
+        return f"{self.message}{clash}{mend}"
+
+
+class Problems:
+    """Collects problems in the order in which they are found, each once."""
+
+    def __init__(self) -> None:
+        self.found: dict[Problem, None] = {}
+
+    def add(
+        self,
+        code: Code,
+        place: Place,
+        message: str,
+        mend: str = "",
+        clash: Place | None = None,
+        host: str = "",
+    ) -> None:
+        """Note one."""
+        self.found.setdefault(Problem(code, place, message, mend, clash, host))
+
+    def sorted(self) -> list[Problem]:
+        """By file, line and column; what holds for all hosts of one range is told once."""
+        told = {(one.place, one.code.ident, one.message): one for one in reversed(self.found)}
+        return [told[key] for key in sorted(told)]
