One interface for subsystems and list sources; inventories plug in by the edge file

Need: the program named each part by hand and loaded YAML on the platform, where nothing uses it. Subsystems are sections of one TOML file, checked by msgspec with key, line and nearest name, and imported only where their section is there. The old inventory reader is gone; the tools come by 'lockspoke inventory' on click. Tests stand in folders by package.

--- a/lockspoke/__main__.py
+++ b/lockspoke/__main__.py
@@ -1,8 +1,24 @@
-"""Run the gateway: `python -m lockspoke`."""
+"""`python -m lockspoke` is the gateway; with a command before anything else it is one of the tools."""
 
 import sys
 
-from lockspoke.lifecycle.program import main
+TOOLS = ("inventory", "config", "completion")
+
+
+def main() -> int:
+    """Run the gateway, or the tool that the first argument names."""
+    if sys.argv[1:2] and sys.argv[1] in TOOLS:
+        # Imported only here: the gateway lives in little memory and needs nothing of it.
+        try:
+            from lockspoke.cli.main import run
+        except ModuleNotFoundError as error:
+            print(f"lockspoke: {error.name} is not installed; pip install 'lockspoke[cli]'", file=sys.stderr)
+            return 2
+        return run(sys.argv[1:])
+    from lockspoke.lifecycle.program import main as gateway
+
+    return gateway()
+
 
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/lockspoke/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line beside the gateway: tools for inventories and configurations."""
--- /dev/null
+++ b/lockspoke/cli/reading.py
@@ -0,0 +1,173 @@
+"""What the inventory commands share: options that say how sources are read, and tables."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+from rich.console import Console
+from rich.markup import escape
+from rich.table import Table
+
+from lockspoke.inventory.files import collect
+from lockspoke.inventory.model import WorkerRecord
+from lockspoke.inventory.reading import FORMS
+from lockspoke.inventory.reconcile import Act, Decision
+from lockspoke.inventory.settings import Settings
+from lockspoke.inventory.snapshot import Memory, Report, take
+from lockspoke.lifecycle.config import ConfigError
+from lockspoke.lifecycle.edge import read_edge
+
+F = TypeVar("F", bound=Callable[..., Any])
+_COLORS = {
+    Act.ADD: "green",
+    Act.CHANGE: "cyan",
+    Act.DRAIN: "yellow",
+    Act.REMOVE: "red",
+    Act.HOLD: "magenta",
+    Act.KEEP_OUT: "magenta",
+    Act.GUARD: "bold red",
+    Act.ACCEPT: "bold yellow",
+}
+_STYLES = {"error": "red", "warning": "yellow", "place": "bold", "mend": "green"}
+
+
+@dataclass(slots=True)
+class Looking:
+    """How a command reads: settings from the edge file, with the options of the command before them."""
+
+    settings: Settings
+    zones: tuple[str, ...]
+
+    def report(self, paths: tuple[Path, ...], memory: Memory | None = None) -> Report:
+        """Read sources."""
+        return take(collect(paths or self.paths), self.settings.reading(self.zones), memory)
+
+    @property
+    def paths(self) -> tuple[Path, ...]:
+        """The sources that the edge file names."""
+        return tuple(Path(path) for path in self.settings.paths)
+
+
+def reading_options(command: F) -> F:
+    """Options of every command that reads sources."""
+    for option in reversed(
+        [
+            click.option(
+                "--edge", type=click.Path(path_type=Path), help="take the section [inventory] of this file"
+            ),
+            click.option("--zone", "zones", multiple=True, help="a zone that is known; more may be given"),
+            click.option(
+                "--kind", "kinds", multiple=True, metavar="NAME[=WEIGHT]", help="a kind that is known"
+            ),
+            click.option(
+                "--form", type=click.Choice(FORMS), help="where a file's name does not tell its form"
+            ),
+            click.option("--select", metavar="PATTERN", help="only hosts of a pattern, as lis-1:&gen_c:!w3"),
+            click.option("--port", type=click.IntRange(1, 65535), help="for hosts that give none"),
+            click.option("--lookups/--no-lookups", default=None, help="take host names beside IP addresses"),
+        ]
+    ):
+        command = option(command)
+    return command
+
+
+def looking(
+    edge: Path | None,
+    zones: tuple[str, ...],
+    kinds: tuple[str, ...],
+    form: str | None,
+    select: str | None,
+    port: int | None,
+    lookups: bool | None,
+    paths: tuple[Path, ...] = (),
+) -> Looking:
+    """Settings from the edge file and options. Raises a usage error that names what is wrong."""
+    base: dict[str, Any] = {"paths": [str(path) for path in paths] or ["."]}
+    if edge is not None:
+        try:
+            found = [section for section in read_edge(edge) if section.name == "inventory"]
+        except ConfigError as error:
+            raise click.UsageError(str(error)) from None
+        if not found:
+            raise click.UsageError(f"{edge} has no section [inventory]")
+        given = found[0].settings
+        base = {name: getattr(given, name) for name in given.__struct_fields__}
+    elif not paths:
+        raise click.UsageError("name a file or folder, or --edge")
+    if zones:
+        base["zones"] = list(zones)
+    if kinds:
+        weights = {}
+        for word in kinds:
+            name, _, weight = word.partition("=")
+            try:
+                weights[name] = float(weight or 1.0)
+            except ValueError:
+                raise click.UsageError(f"--kind {word}: {weight!r} is no weight") from None
+        base["kinds"] = weights
+    for name, value in (("form", form), ("select", select), ("port", port), ("lookups", lookups)):
+        if value is not None:
+            base[name] = value
+    try:
+        return Looking(Settings(**base), tuple(base.get("zones", ())))
+    except ValueError as error:
+        raise click.UsageError(str(error)) from None
+
+
+def console() -> Console:
+    """Where tables go: with colour on a terminal, plain and unbroken when piped."""
+    made = Console(highlight=False, soft_wrap=False)
+    return made if made.is_terminal else Console(highlight=False, width=240, no_color=True)
+
+
+def paths_argument(command: F) -> F:
+    """The sources that a command names."""
+    return click.argument("paths", nargs=-1, type=click.Path(path_type=Path))(command)
+
+
+def styled(out: Console) -> Callable[[str, str], str]:
+    """How problems are dressed: with colour on a terminal."""
+    if not out.is_terminal:
+        return lambda text, _: text
+    return lambda text, style: click.style(
+        text, bold=style == "place", fg=_STYLES[style].replace("bold", "white")
+    )
+
+
+def texts(paths: tuple[Path, ...]) -> dict[str, str]:
+    """The sources as text, for showing lines of them."""
+    return {file.path: (file.data or b"").decode("utf-8-sig", "replace") for file in collect(paths)}
+
+
+def print_workers(workers: list[WorkerRecord], more: dict[str, str] | None = None) -> None:
+    """A table of workers; `more` says why each is held."""
+    names = ("name", "host", "port", "zone", "kind", "cell", "weight", "state", "labels")
+    table = Table(*names, *(["held"] if more is not None else []), box=None, pad_edge=False)
+    colors = {"up": "green", "draining": "yellow", "removed": "red"}
+    for worker in workers:
+        labels = " ".join(f"{name}={value}" for name, value in worker.labels)
+        cells = [
+            *map(escape, (worker.name, worker.host, str(worker.port), worker.zone, worker.kind)),
+            *(
+                str(worker.cell),
+                f"{worker.weight:g}",
+                f"[{colors[worker.state]}]{worker.state}[/]",
+                escape(labels),
+            ),
+        ]
+        table.add_row(*cells, *([escape(more.get(worker.name, ""))] if more is not None else []))
+    console().print(table)
+
+
+def print_decisions(decisions: tuple[Decision, ...]) -> None:
+    """A line a decision."""
+    out = console()
+    for one in decisions:
+        out.print(
+            f"[{_COLORS[one.act]}]{one.act.value:>8}[/] {escape(one.host or '*')}: {escape(one.reason)}",
+            soft_wrap=True,
+        )
--- a/lockspoke/inventory/reconcile.py
+++ b/lockspoke/inventory/reconcile.py
@@ -36,7 +36,6 @@
     flap_half_life_ms: int = 60_000
     blink_ms: int = 1_000  # gone for less and back at its address: rewritten, not restarted
     new_is_cold: bool = True  # a host that appears while the gateway runs has just started
-    shared_addresses: bool = False
 
 
 class Act(Enum):
@@ -175,8 +174,7 @@
             if name not in self.known and name not in snapshot.workers:
                 wishes[name] = _Wish(Act.KEEP_OUT, None, f"its row is wrong: {reason}")
         self._guard_masses(wishes, snapshot, now_ms)
-        if not self.caution.shared_addresses:
-            self._untangle(wishes)
+        self._untangle(wishes)
         entries = self._carry_out(wishes, snapshot, now_ms)
         self.out = {name: wish.reason for name, wish in wishes.items() if wish.act is Act.KEEP_OUT}
         self.started = True
--- a/lockspoke/inventory/reports.py
+++ b/lockspoke/inventory/reports.py
@@ -25,7 +25,8 @@
     blocks = []
     for problem in problems:
         level = problem.severity.value
-        head = f"{style(str(problem.place), 'place')}: {style(level, level)}[{problem.code.ident}]: {problem.message}"
+        place, mark = style(str(problem.place), "place"), style(f"{level}[{problem.code.ident}]", level)
+        head = f"{place}: {mark}: {problem.message}"
         lines = [head, *_excerpt(problem.place, texts, style)]
         if problem.clash is not None:
             lines.append(f"    clashes with {style(str(problem.clash), 'place')}")
--- a/lockspoke/inventory/schema.py
+++ b/lockspoke/inventory/schema.py
@@ -71,7 +71,6 @@
     port: int = 0  # where a row gives none; 0: it must
     require: tuple[str, ...] = ()  # fields that each row must give
     names: Mapping[str, str] = field(default_factory=dict)  # of columns and variables, the schema's names
-    shared_addresses: bool = False  # several workers may listen at one address
     implied: bool = True  # a group called like a kind or zone puts its hosts there
 
     @property
@@ -207,7 +206,7 @@
 
     def _name(self) -> str:
         row = self.row
-        if row.name and not _NAME.fullmatch(row.name) and not _is_ip(row.name):
+        if row.name and not _NAME.fullmatch(row.name) and not is_ip(row.name):
             mend = "use letters, digits, dot, dash and underscore"
             self._add(BAD_NAME, row.place, f"{_short(row.name)} is no name for a worker", mend)
         return row.name
@@ -327,7 +326,8 @@
     return repr(text if len(text) <= 60 else text[:57] + "...")
 
 
-def _is_ip(text: str) -> bool:
+def is_ip(text: str) -> bool:
+    """Whether a text is an IP address, of either version."""
     try:
         ipaddress.ip_address(text)
     except ValueError:
@@ -383,7 +383,7 @@
             other = sharing[0] if one is not sharing[0] else sharing[1]
             host = f"[{address[0]}]" if ":" in address[0] else address[0]
             message = f"{one.row.name} and {other.row.name} have one address, {host}:{address[1]}"
-            mend = "give each its own; shared_addresses = true allows it"
+            mend = "give each its own, or take one of them out"
             place = _address_place(one.row)
             one.problems.append(
                 Problem(SAME_ADDRESS, place, message, mend, _address_place(other.row), one.row.name)
--- /dev/null
+++ b/lockspoke/inventory/settings.py
@@ -0,0 +1,108 @@
+"""The section `[inventory]` of the edge file, typed, and what it means to the modules here."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from .patterns import PatternError, read_pattern
+from .reconcile import Caution
+from .schema import FIELDS, Rules
+from .snapshot import Reading
+
+Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=7 * 86400.0)]
+Weight = Annotated[float, msgspec.Meta(gt=0.0, le=1000.0)]
+Whole = Annotated[int, msgspec.Meta(ge=0)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+
+
+class Guard(msgspec.Struct, frozen=True, kw_only=True):
+    """The section `[inventory.guard]`: how far a change of the files may reach at once. Times in seconds."""
+
+    removed_share: Share = 0.3
+    removed_least: Whole = 3
+    window: Seconds = 60.0
+    settle: Seconds = 0.0  # 0: a mass removal waits for an operator
+    unfinished: Seconds = 5.0
+    flap_limit: Annotated[float, msgspec.Meta(ge=1.0)] = 4.0
+    flap_half_life: Annotated[float, msgspec.Meta(ge=0.1)] = 60.0
+    blink: Seconds = 1.0
+    new_is_cold: bool = True
+    accept: str = ""  # the fingerprint of a mass removal that an operator accepts
+
+
+class Settings(msgspec.Struct, frozen=True, kw_only=True):
+    """The section `[inventory]`."""
+
+    paths: list[str]  # files and folders, merged in this order
+    form: Literal["", "csv", "yaml", "json", "ini"] = ""
+    select: str = ""  # a host pattern: the part that this gateway serves
+    merge: Literal["strict", "later"] = "strict"  # what holds where two sources differ
+    zones: list[str] = []  # none: those of the gateway's own settings
+    kinds: dict[str, Weight] = {}  # the weight of each kind
+    names: dict[str, str] = {}  # of columns and variables, the schema's names
+    require: list[str] = []
+    port: Port = 0
+    lookups: bool = False
+    lookup_every: Annotated[float, msgspec.Meta(ge=1.0)] = 30.0
+    implied_groups: bool = True
+    watch: Literal["notice", "poll"] = "notice"
+    poll: Annotated[float, msgspec.Meta(ge=0.01, le=3600.0)] = 1.0
+    quiet: Annotated[float, msgspec.Meta(ge=0.0, le=10.0)] = (
+        0.1  # without a write, for a file written in place
+    )
+    missing: Annotated[float, msgspec.Meta(ge=0.0, le=60.0)] = 1.0  # that a file may be away unremarked
+    inline_kb: Whole = 64  # larger inventories are read in a process of their own
+    keep: str = ""  # a folder that lasts, for the last good list and the status
+    guard: Guard = Guard()
+
+    def __post_init__(self) -> None:
+        """Check what types do not tell."""
+        if not self.paths or not all(self.paths):
+            raise ValueError("paths is empty, want at least one file or folder")
+        for ours in self.names.values():
+            if ours not in FIELDS and not ours.startswith("label."):
+                raise ValueError(f"names maps to {ours!r}, want one of {', '.join(sorted(FIELDS))}")
+        for word in self.require:
+            if word not in FIELDS:
+                raise ValueError(f"require has {word!r}, want any of {', '.join(sorted(FIELDS))}")
+        if self.select:
+            try:
+                read_pattern(self.select)
+            except PatternError as error:
+                raise ValueError(f"select is wrong: {error}") from None
+
+    def reading(self, zones: tuple[str, ...] = ()) -> Reading:
+        """How sources are read; `zones` are the gateway's, for where none are named here."""
+        rules = Rules(
+            zones=tuple(self.zones) or zones,
+            kinds=self.kinds,
+            lookups=self.lookups,
+            port=self.port,
+            require=tuple(self.require),
+            names=self.names,
+            implied=self.implied_groups,
+        )
+        select = read_pattern(self.select) if self.select else None
+        return Reading(rules, self.form, select, self.merge == "later")
+
+    def caution(self) -> Caution:
+        """How careful the reconciler is."""
+        guard = self.guard
+        return Caution(
+            removed_share=guard.removed_share,
+            removed_least=guard.removed_least,
+            window_ms=_ms(guard.window),
+            settle_ms=_ms(guard.settle),
+            unfinished_ms=_ms(guard.unfinished),
+            flap_limit=guard.flap_limit,
+            flap_half_life_ms=_ms(guard.flap_half_life),
+            blink_ms=_ms(guard.blink),
+            new_is_cold=guard.new_is_cold,
+        )
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/lockspoke/inventory/snapshot.py
+++ b/lockspoke/inventory/snapshot.py
@@ -138,8 +138,7 @@
             # What its reader has told already is not told again by what is missing now.
             one.record = None
             one.problems = [problem for problem in one.problems if problem.place != one.row.place]
-    if not rules.shared_addresses:
-        check_addresses(checked)
+    check_addresses(checked)
     for one in checked:
         for problem in one.problems:
             problems.found.setdefault(problem)
--- a/lockspoke/inventory/store.py
+++ b/lockspoke/inventory/store.py
@@ -17,6 +17,8 @@
 from .reconcile import Known
 
 NAME = "inventory.last"
+STATUS_NAME = "inventory.status.json"
+ACCEPT_NAME = "inventory.accept"
 _HEAD = b"lockspoke-inventory 1 "
 LIMIT = 64 * 1024 * 1024
 
--- a/lockspoke/lifecycle/batch.py
+++ b/lockspoke/lifecycle/batch.py
@@ -4,12 +4,11 @@
 
 import asyncio
 import time
-import tomllib
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
+import msgspec
 import structlog
 
 from lockspoke.memory.batch_runner import BatchRunner
@@ -21,107 +20,99 @@
 from lockspoke.wire.discovery import ListError, decode_endpoint
 
 from .config import Config, ConfigError
+from .parts import Surroundings
 
 MB = 1024 * 1024
 TEND = 60.0  # seconds between two looks for uploads whose time is over
-DEFAULTS: dict[str, Any] = {
-    "listen": "",
-    "store": "",
-    "kind": "bulk",
-    "concurrency": 4,
-    "tries": 3,
-    "max_file_mb": 200,
-    "max_lines": 50000,
-    "connections": 64,
-    "token_env": "",
-    "inventory": {},
-}
+Count = Annotated[int, msgspec.Meta(ge=1)]
 
 log = structlog.get_logger()
 
 
-@dataclass(frozen=True, slots=True)
-class BatchConfig:
-    """What the file that `--batch` names says."""
-
-    listen: tuple[str, int]
-    store: Path
-    kind: str
-    concurrency: int
-    tries: int
-    file_limit: int
-    lines_limit: int
-    connections: int
-    token: str
-    inventory: Path | None
-
-
-def read_batch_config(path: Path, environment: Mapping[str, str]) -> BatchConfig:
-    """Read the file; every key is checked, and one that is not known is an error."""
-    try:
-        raw = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{path}: {error}") from None
-    values = DEFAULTS | raw
-    for key, value in values.items():
-        if key not in DEFAULTS or type(value) is not type(DEFAULTS[key]):
-            raise ConfigError(f"{path}: {key} is unknown or of the wrong kind")
-        if isinstance(value, int) and value < 1:
-            raise ConfigError(f"{path}: {key} is {value}, want 1 or more")
-    if not values["store"]:
-        raise ConfigError(f"{path}: store is missing")
-    inventory = values["inventory"].get("path")
-    if inventory is not None and not isinstance(inventory, str):
-        raise ConfigError(f"{path}: inventory.path is no text")
-    token = environment.get(values["token_env"], "") if values["token_env"] else ""
-    if values["token_env"] and not token:
-        raise ConfigError(f"{path}: token_env names {values['token_env']}, which is not set")
-    try:
-        listen = decode_endpoint(values["listen"], 0)
-    except ListError as error:
-        raise ConfigError(f"{path}: listen: {error}") from None
-    return BatchConfig(
-        listen=listen,
-        store=Path(values["store"]),
-        kind=values["kind"],
-        concurrency=values["concurrency"],
-        tries=values["tries"],
-        file_limit=values["max_file_mb"] * MB,
-        lines_limit=values["max_lines"],
-        connections=values["connections"],
-        token=token,
-        inventory=None if inventory is None else Path(inventory),
-    )
+class Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """The section `[batch]`."""
+
+    listen: str  # host:port
+    store: str  # a folder that survives restarts
+    kind: str = "bulk"  # the request class of a line
+    concurrency: Count = 4  # lines out at once
+    tries: Count = 3  # of a line that fails
+    max_file_mb: Count = 200
+    max_lines: Count = 50000
+    connections: Count = 64
+    token_env: str = ""  # the variable that holds the key clients must show
+
+    def __post_init__(self) -> None:
+        """Check what types do not tell."""
+        if not self.store:
+            raise ValueError("store is empty, want a folder")
+        try:
+            decode_endpoint(self.listen, 0)
+        except ListError as error:
+            raise ValueError(f"listen is wrong: {error}") from None
+
+
+def make(settings: Settings, around: Surroundings) -> BatchSide:
+    """The batch front."""
+    return BatchSide(settings, around)
 
 
 class BatchSide:
     """Store, runner and listener of the batch front."""
 
-    def __init__(self, config: BatchConfig, gateway: Config, core: Core) -> None:
-        self.config = config
-        request_class = self._class(gateway)
+    name = "batch"
+    source = None
+
+    def __init__(self, settings: Settings, around: Surroundings) -> None:
+        self.settings = settings
+        self.gateway = around.gateway
+        self.request_class = self._class(settings, around.gateway)
+        self.token = around.environment.get(settings.token_env, "") if settings.token_env else ""
+        if settings.token_env and not self.token:
+            raise ConfigError(f"batch.token_env names {settings.token_env}, which is not set")
+        self.descriptors = settings.connections
+
+    def attach(self, core: Core) -> None:
+        """Open the store and put the parts together."""
+        settings = self.settings
         try:
-            self.store = BatchStore(config.store, time.time)
+            self.store = BatchStore(Path(settings.store), time.time)
         except (StoreError, OSError) as error:
-            raise ConfigError(f"store: {error}") from None
-        longest = gateway.deadlines[request_class]
-        self.lines = BatchLines(self.store, config.kind, request_class, longest, config.lines_limit)
-        self.runner = BatchRunner(self.store, core, self.lines, config.concurrency, config.tries, time.time)
-        self.front = BatchFront(self.store, self.runner, config.connections, config.file_limit, config.token)
-
-    def _class(self, gateway: Config) -> int:
-        if self.config.kind not in gateway.classes:
-            raise ConfigError(f"kind is {self.config.kind!r}, want one of {', '.join(gateway.classes)}")
-        return gateway.classes[self.config.kind]
-
-    def reconfigure(self, gateway: Config) -> None:
-        """The gateway's configuration has changed: lines that begin from now on go by the new one."""
-        self.lines.request_class = self._class(gateway)
-        self.lines.longest = gateway.deadlines[self.lines.request_class]
+            raise ConfigError(f"batch.store: {error}") from None
+        longest = self.gateway.deadlines[self.request_class]
+        self.lines = BatchLines(self.store, settings.kind, self.request_class, longest, settings.max_lines)
+        self.runner = BatchRunner(
+            self.store, core, self.lines, settings.concurrency, settings.tries, time.time
+        )
+        limit = settings.max_file_mb * MB
+        self.front = BatchFront(self.store, self.runner, settings.connections, limit, self.token)
+
+    def _class(self, settings: Settings, gateway: Config) -> int:
+        if settings.kind not in gateway.classes:
+            raise ConfigError(f"batch.kind is {settings.kind!r}, want one of {', '.join(gateway.classes)}")
+        return gateway.classes[settings.kind]
+
+    def prepare(self, settings: Settings, gateway: Config) -> Callable[[], None]:
+        """What may change while it runs: kind, concurrency, tries, sizes. The rest needs a restart."""
+        fixed = ("listen", "store", "connections", "token_env")
+        changed = [name for name in fixed if getattr(settings, name) != getattr(self.settings, name)]
+        if changed:
+            raise ConfigError(f"batch.{changed[0]} can't change while the program runs; restart it")
+        request_class = self._class(settings, gateway)
+
+        def commit() -> None:
+            self.settings, self.gateway, self.request_class = settings, gateway, request_class
+            self.lines.kind, self.lines.request_class = settings.kind, request_class
+            self.lines.longest = gateway.deadlines[request_class]
+            self.lines.most = settings.max_lines
+            self.runner.concurrency, self.runner.tries = settings.concurrency, settings.tries
+            self.front.file_limit = settings.max_file_mb * MB
+
+        return commit
 
     def start(self) -> None:
         """Listen, and go on with what was left unfinished."""
-        host, port = self.front.listener.listen(self.config.listen)
+        host, port = self.front.listener.listen(decode_endpoint(self.settings.listen, 0))
         log.info("batch_listening", host=host, port=port, batches=len(self.store.batches))
         self.runner.start()
         self._tending = asyncio.ensure_future(self._tend())
@@ -135,7 +126,15 @@
                 log.error("store_failing", error=str(error))
             await asyncio.sleep(TEND)
 
-    async def stop(self) -> None:
+    def sweep(self) -> None:
+        """Close connections that stand still."""
+        self.front.sweep()
+
+    def status(self) -> dict[str, Any]:
+        """How many batches there are, and connections."""
+        return {"batches": len(self.store.batches), "connections": len(self.front.listener.connections)}
+
+    async def drain(self) -> None:
         """Begin no line any more, and store the end of those that are out."""
         self.front.draining = True
         self._tending.cancel()
@@ -143,3 +142,6 @@
         self.front.listener.stop()
         self.front.listener.close_all()
         self.store.close()
+
+    def stop(self) -> None:
+        """All has ended with the drain."""
--- /dev/null
+++ b/lockspoke/lifecycle/parts.py
@@ -0,0 +1,101 @@
+"""What plugs into the program: subsystems beside the platform's front, and sources of the list of workers.
+
+A subsystem is named by a section of the edge file. Its module is imported only where that section is there,
+so a program without one carries nothing of it. `PARTS` is the whole of what the program knows of them.
+"""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Protocol
+
+from lockspoke.memory.core import Core
+from lockspoke.memory.registry import RegistryUpdate
+
+from .config import Config
+
+# By section, the module that holds its `Settings` (a msgspec struct) and `make` (a `Make`).
+PARTS = {
+    "batch": "lockspoke.lifecycle.batch",
+    "inventory": "lockspoke.lifecycle.inventory",
+}
+
+
+class ListSource(Protocol):
+    """Where the list of workers comes from. One feeds the registry; it is the core's discovery too."""
+
+    core: Core | None  # set before anything is asked of it
+
+    def first(self) -> RegistryUpdate | None:
+        """The list to begin with, if there is one now; raises ConfigError where none can be had at all."""
+
+    def watch(self, enable: bool) -> None:
+        """Tell the core of changes from now on, or end that; asked again while it does, nothing changes."""
+
+    def gateway_changed(self, config: Config, anew: bool) -> None:
+        """The gateway's configuration has changed; `anew`: the core wants the whole list again."""
+
+    def close(self) -> None:
+        """End for good."""
+
+
+class Subsystem(Protocol):
+    """One section of the edge file at work. The program calls its methods in the order of their names here.
+
+    A reload is all or none: `prepare` of every part is called, and only if none raises ConfigError are the
+    functions that they gave called, which may not fail.
+    """
+
+    name: str
+    descriptors: int  # that its connections may take
+    source: ListSource | None  # where it feeds the registry
+
+    def attach(self, core: Core) -> None:
+        """The core that it goes through; raises ConfigError where it can't start."""
+
+    def start(self) -> None:
+        """Begin, on the running loop."""
+
+    def sweep(self) -> None:
+        """Look after what has stood for long; called some times a second."""
+
+    def prepare(self, settings: Any, gateway: Config) -> Callable[[], None]:
+        """Check new settings of its own and of the gateway; gives what puts them in force."""
+
+    async def drain(self) -> None:
+        """Take nothing new and finish what is open; returns when that is done."""
+
+    def stop(self) -> None:
+        """End for good, after the drain."""
+
+    def status(self) -> dict[str, Any]:
+        """How it stands, as plain values."""
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What a part is made with, beside its own settings."""
+
+    gateway: Config
+    environment: Mapping[str, str]
+    folder: Path  # paths in the edge file are taken from the working folder; this is the file's own
+
+
+class Make(Protocol):
+    """The `make` of a part's module."""
+
+    def __call__(self, settings: Any, around: Surroundings) -> Subsystem:
+        """The part; raises ConfigError, naming the key."""
+
+
+def part_module(section: str) -> Any:
+    """The module of a part, imported now if it was not."""
+    return importlib.import_module(PARTS[section])
+
+
+def only_source(parts: list[Subsystem]) -> ListSource | None:
+    """The one source of the list among the parts, if any."""
+    return next((part.source for part in parts if part.source is not None), None)
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -10,24 +10,26 @@
 import signal
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import structlog
 
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
-from lockspoke.memory.registry import Registry
+from lockspoke.memory.registry import Registry, RegistryUpdate
 from lockspoke.wire.clients import ClientFront
-from lockspoke.wire.inventory import InventoryError
-from lockspoke.wire.inventory_watch import InventoryWatch
 from lockspoke.wire.watch import DiscoveryWatch
 from lockspoke.wire.workers import WorkerConnections
 
-from .batch import BatchConfig, BatchSide, read_batch_config
 from .config import Config, ConfigError, read_config
 from .logs import start_logging
+from .parts import ListSource, Subsystem, Surroundings, only_source
+
+if TYPE_CHECKING:
+    from .edge import Section
 
 SWEEP = 0.25  # bad clients are owed an answer within 3 s
 TOTALS = 10.0  # seconds between two lines of totals
@@ -64,15 +66,43 @@
         return asyncio.get_running_loop().call_later(max(0, delay) / 1e9, callback)
 
 
+class PlatformDiscovery(DiscoveryWatch):
+    """The platform's discovery as the source of the list."""
+
+    def __init__(self, config: Config) -> None:
+        if config.discovery is None:
+            raise ConfigError("discovery is missing")
+        super().__init__(config.discovery)
+        self._config = config
+
+    def first(self) -> RegistryUpdate | None:
+        """The list that the configuration holds."""
+        return self._config.known
+
+    def gateway_changed(self, config: Config, anew: bool) -> None:
+        """Discovery may have moved; a whole list is got by asking it anew."""
+        moved = config.discovery != self._config.discovery
+        self._config = config
+        if config.discovery is not None and (moved or anew):
+            self.move(config.discovery)
+
+
 class Program:
     """One gateway."""
 
-    def __init__(self, config: Config, batch: BatchConfig | None = None) -> None:
+    def __init__(
+        self,
+        config: Config,
+        parts: Sequence[Subsystem] = (),
+        read_sections: Callable[[], Sequence[Section]] = tuple,
+    ) -> None:
+        self.parts = list(parts)
+        self.read_sections = read_sections  # the edge file as it is now
         self.config = config
         self.phase = Phase.STARTING
         self.timers = LoopTimers()
         self.registry = Registry(Numbers(), config.zones)
-        self._others = 0 if batch is None else batch.connections
+        self._others = sum(part.descriptors for part in self.parts)
         most = config.connections(self._others)
         self.workers = WorkerConnections(
             config.load_names,
@@ -81,14 +111,15 @@
             most,
             self.timers.now,
         )
-        self.watch = _watch(config, batch)
+        self.watch: ListSource = only_source(self.parts) or PlatformDiscovery(config)
         self.core = Core(config.settings, config.seed, self.registry, self.timers, self.workers, self.watch)
         self.watch.core = self.core
         # The listener holds one past its bound while it looks for room; each call needs a worker's place.
         self.clients = ClientFront(
             self.core, config.classes, most - 1, config.held_bytes, lambda: self.phase is Phase.READY
         )
-        self.batch = None if batch is None else BatchSide(batch, config, self.core)
+        for part in self.parts:
+            part.attach(self.core)
         self._stop = asyncio.Event()
 
     def _enter(self, phase: Phase) -> None:
@@ -102,35 +133,36 @@
             loop.add_signal_handler(number, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.core.start()
-        known = self.watch.load() if isinstance(self.watch, InventoryWatch) else self.config.known
+        known = self.watch.first()
         if known is not None:
             self.core.list_changed(known, cached=True)
         else:
             self.watch.watch(True)
         host, port = self.clients.listener.listen(self.config.listen)
         log.info("listening", host=host, port=port, workers=self.registry.ready)
-        if self.batch is not None:
-            self.batch.start()
+        for part in self.parts:
+            part.start()
         gc.freeze()  # what is loaded now stays: later collections need not look at it
         sweeps = asyncio.ensure_future(self._sweep())
         await self._stop.wait()
         await self._drain()
         sweeps.cancel()
         self.watch.close()
+        for part in self.parts:
+            part.stop()
         self.workers.close()
         self._tell_totals()
         self._enter(Phase.STOPPED)
 
     def _reload(self) -> None:
-        """Take up the configuration's file as it is now; one that cannot be read leaves the old in force.
+        """Take up the configuration's files as they are now; one that cannot be read leaves the old in force.
 
         Calls, connections and what is known of workers stay. Name, address and seed are of the start alone,
         and so is the list that the file holds: discovery's own is newer.
         """
         try:
             config = read_config(os.environ, self.config)
-            if self.batch is not None:
-                self.batch.reconfigure(config)
+            commits = self._prepare(config)
         except ConfigError as error:
             log.error("reload_refused", reason=str(error))
             return
@@ -140,12 +172,19 @@
         self.workers.reconfigure(config.load_names, config.connect_timeout, config.keepalive, most)
         self.clients.reconfigure(config.classes, most - 1, config.held_bytes)
         anew = self.core.reconfigure(config.settings, config.zones)
-        if isinstance(self.watch, InventoryWatch):
-            self.watch.reread()
-        elif config.discovery is not None and (moved or anew):
-            self.watch.move(config.discovery)
+        self.watch.gateway_changed(config, anew)
+        for commit in commits:
+            commit()
         log.info("reloaded", discovery_moved=moved)
 
+    def _prepare(self, config: Config) -> list[Callable[[], None]]:
+        """Have every part check what is new for it; all or none of them take it up."""
+        sections = {section.name: section.settings for section in self.read_sections()}
+        running = {part.name for part in self.parts}
+        if changed := sorted(running ^ sections.keys()):
+            raise ConfigError(f"[{changed[0]}] came or went in the edge file; that needs a restart")
+        return [part.prepare(sections[part.name], config) for part in self.parts]
+
     async def _sweep(self) -> None:
         told = time.monotonic()
         while True:
@@ -153,8 +192,8 @@
                 self._enter(Phase.READY)
             self.workers.sweep()
             self.clients.sweep()
-            if self.batch is not None:
-                self.batch.front.sweep()
+            for part in self.parts:
+                part.sweep()
             if time.monotonic() - told >= TOTALS:
                 told = time.monotonic()
                 self._tell_totals()
@@ -175,7 +214,7 @@
         """Answer all that was taken, and all that comes while clients still come here."""
         self._enter(Phase.DRAINING)
         self.clients.draining = True
-        ending = None if self.batch is None else asyncio.ensure_future(self.batch.stop())
+        ending = [asyncio.ensure_future(part.drain()) for part in self.parts]
         listener, loop = self.clients.listener, asyncio.get_running_loop()
         began = loop.time()
         while loop.time() - began < LONGEST_ACCEPTING:
@@ -192,8 +231,8 @@
         while listener.connections or self.core.calls:
             listener.close_idle(QUIET)
             await asyncio.sleep(0.02)
-        if ending is not None:
-            await ending
+        for part in ending:
+            await part
 
     async def _until_answered(self, end: float) -> None:
         """Until no call is open, or that time has come."""
@@ -214,28 +253,26 @@
         trim(0)
 
 
-def _watch(config: Config, batch: BatchConfig | None) -> DiscoveryWatch | InventoryWatch:
-    """Where the registry comes from: the platform's discovery, or a file of ours."""
-    if batch is not None and batch.inventory is not None:
-        return InventoryWatch(batch.inventory)
-    if config.discovery is None:
-        raise ConfigError("discovery is missing")
-    return DiscoveryWatch(config.discovery)
-
-
-def main() -> int:
+def main(arguments: Sequence[str] | None = None) -> int:
     """Run one gateway until it is told to stop."""
-    parser = argparse.ArgumentParser(prog="lockspoke", description="A gateway for language-model workers.")
-    parser.add_argument("--batch", type=Path, metavar="FILE", help="also listen for batches, as FILE says")
-    options = parser.parse_args()
+    parser = argparse.ArgumentParser(
+        prog="lockspoke",
+        description="A gateway for language-model workers.",
+        epilog="Tools beside it: lockspoke inventory --help, lockspoke config --help.",
+    )
+    which = parser.add_mutually_exclusive_group()
+    which.add_argument(
+        "--edge", type=Path, metavar="FILE", help="also run the parts that FILE has sections for"
+    )
+    which.add_argument("--batch", type=Path, metavar="FILE", help="a file of the batch front alone")
+    options = parser.parse_args(arguments)
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop takes it: the file is not read yet anyway
     start_logging()
     try:
         config = read_config(os.environ)
         structlog.contextvars.bind_contextvars(gateway=config.name)
-        batch = None if options.batch is None else read_batch_config(options.batch, os.environ)
-        asyncio.run(_run(config, batch))
-    except (ConfigError, InventoryError) as error:
+        asyncio.run(_run(config, options.edge, options.batch))
+    except ConfigError as error:
         print(f"lockspoke: {error}", file=sys.stderr)
         return 2
     except OSError as error:
@@ -244,5 +281,17 @@
     return 0
 
 
-async def _run(config: Config, batch: BatchConfig | None) -> None:
-    await Program(config, batch).run()
+async def _run(config: Config, edge: Path | None, batch: Path | None) -> None:
+    if edge is None and batch is None:
+        await Program(config).run()
+        return
+    # With them comes what only they need.
+    from .edge import read_batch_file, read_edge
+
+    def sections() -> Sequence[Section]:
+        return read_edge(edge) if edge is not None else read_batch_file(batch or Path())
+
+    folder = (edge or batch or Path()).parent
+    around = Surroundings(config, os.environ, folder)
+    parts = [section.make(section.settings, around) for section in sections()]
+    await Program(config, parts, sections).run()
--- a/tests/test_breaker.py
+++ b/tests/hillridge/test_breaker.py
@@ -17,8 +17,7 @@
     State,
 )
 from hillridge.records import Attempt, Replica
-
-from .helpers import MS, SECOND, World, ready, settings
+from tests.hillridge.helpers import MS, SECOND, World, ready, settings
 
 
 def attempt_on(breaker: Breaker) -> Attempt:
--- a/tests/test_pick.py
+++ b/tests/hillridge/test_pick.py
@@ -8,8 +8,7 @@
 
 from hillridge import interface as api
 from hillridge.policy import FULL_PAUSE, State
-
-from .helpers import MS, SECOND, Call, World, ready, settings
+from tests.hillridge.helpers import MS, SECOND, Call, World, ready, settings
 
 
 def test_work_follows_listed_size() -> None:
--- a/tests/test_reports.py
+++ b/tests/hillridge/test_reports.py
@@ -6,8 +6,7 @@
 
 from hillridge import interface as api
 from hillridge.policy import FULL_PAUSE, REPORT_LIVES, State
-
-from .helpers import MS, SECOND, World, settings
+from tests.hillridge.helpers import MS, SECOND, World, settings
 
 
 def reported(busy: float) -> World:
--- a/tests/test_rules.py
+++ b/tests/hillridge/test_rules.py
@@ -12,8 +12,7 @@
 
 from hillridge import interface as api
 from hillridge.policy import RECOVERY
-
-from .helpers import MS, SECOND, World, ready, settings
+from tests.hillridge.helpers import MS, SECOND, World, ready, settings
 
 CLASSES = (
     api.RequestClass(aim=SECOND),
--- a/tests/test_program.py
+++ b/tests/lifecycle/test_program.py
@@ -13,8 +13,7 @@
 import pytest
 
 from lockspoke.wire.http1 import BODY_LIMIT, HEAD_LIMIT
-
-from .standins import (
+from tests.standins import (
     EVENTS,
     HEAD,
     ROOT,
--- a/tests/test_batch_store.py
+++ b/tests/memory/test_batch_store.py
@@ -19,11 +19,10 @@
 from lockspoke.memory.core import SECOND
 from lockspoke.memory.journal import Journal, StoreError
 from lockspoke.wire.batch_lines import BatchLines
-
-from .standins import EVENTS, TAIL, until
-from .test_batch_wire import LINE
-from .test_core import World
-from .test_http1 import fixed
+from tests.memory.test_core import World
+from tests.standins import EVENTS, TAIL, until
+from tests.wire.test_batch_wire import LINE
+from tests.wire.test_http1 import fixed
 
 ANSWER = b"".join(EVENTS) + TAIL
 
--- a/tests/test_core.py
+++ b/tests/memory/test_core.py
@@ -13,8 +13,7 @@
 from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
 from lockspoke.memory.numbers import Numbers, key_number
 from lockspoke.memory.registry import Entry, Registry, RegistryUpdate, Worker
-
-from .helpers import settings
+from tests.hillridge.helpers import settings
 
 
 class Sink:
--- a/tests/test_clients.py
+++ b/tests/wire/test_clients.py
@@ -13,9 +13,8 @@
 from hillridge.interface import Outcome
 from lockspoke.wire import clients
 from lockspoke.wire.clients import ClientConnection, ClientFront
-
-from .standins import EVENTS, call_bytes, until
-from .test_core import World
+from tests.memory.test_core import World
+from tests.standins import EVENTS, call_bytes, until
 
 BODY = b"x" * 5000
 
--- a/tests/test_wire_fields.py
+++ b/tests/wire/test_wire_fields.py
@@ -13,8 +13,7 @@
 from lockspoke.wire.fields import decode_call, decode_load
 from lockspoke.wire.http1 import Headers, HttpError
 from lockspoke.wire.sse import EVENT_LIMIT, LINE_LIMIT, EventStream, StreamError
-
-from .test_http1 import cut, fixed
+from tests.wire.test_http1 import cut, fixed
 
 STREAM = (
     b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
