--- /dev/null
+++ b/tests/inventory/test_cli.py
@@ -0,0 +1,142 @@
+"""The commands, run as a user runs them."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner, Result
+
+from lockspoke.cli.main import cli
+from tests.standins import ROOT
+
+GOOD = "name,host,port,kind\nw1,10.0.0.1,5000,gen-a\nw2,10.0.0.2,5000,gen-b\n"
+
+
+def lockspoke(*words: object) -> Result:
+    return CliRunner().invoke(cli, [str(word) for word in words], standalone_mode=True)
+
+
+def code(result: Result) -> Any:
+    """What the process would exit with: commands give it back as their value."""
+    return result.return_value if result.exit_code == 0 and result.return_value is not None else result.exit_code
+
+
+def process(*words: object, **env: str) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, "-B", "-m", "lockspoke", *map(str, words)]
+    return subprocess.run(command, cwd=ROOT, env=os.environ | env, capture_output=True, text=True, timeout=60)
+
+
+@pytest.fixture
+def good(tmp_path: Path) -> Path:
+    path = tmp_path / "a.csv"
+    path.write_text(GOOD)
+    return path
+
+
+def test_check_prints_json_and_tells_by_its_exit_code(good: Path, tmp_path: Path) -> None:
+    done = process("inventory", "check", good, "--json")
+    raw = json.loads(done.stdout)
+    assert (done.returncode, raw["problems"]) == (0, []) and raw["workers"][1]["kind"] == "gen-b"
+    assert {"name", "host", "port", "zone", "kind", "state"} <= raw["workers"][0].keys()
+    bad = tmp_path / "b.csv"
+    bad.write_text(GOOD.replace("10.0.0.2", "300.1.1.1"))
+    done = process("inventory", "check", bad)
+    assert done.returncode == 1 and f"{bad}:3:4: error[INV305]" in done.stdout and "\x1b" not in done.stdout
+    assert done.stdout.endswith("1 worker, 1 error, 0 warnings\n")
+    (problem,) = json.loads(process("inventory", "check", bad, "--json").stdout)["problems"]
+    assert (problem["file"], problem["line"], problem["column"], problem["code"]) == (str(bad), 3, 4, "INV305")
+    assert json.loads(lockspoke("inventory", "check", bad, "--sarif").output)["version"] == "2.1.0"
+    for words in (("check",), ("check", bad, "--form", "xml"), ("check", bad, "--select", "["), ("nothing",)):
+        assert process("inventory", *words).returncode == 2, words
+    warned = tmp_path / "c.csv"
+    warned.write_text("name,host,port,colour\nw1,10.0.0.1,5000,red\n")
+    assert code(lockspoke("inventory", "check", warned)) == 0
+    assert code(lockspoke("inventory", "check", warned, "--strict")) == 1
+
+
+def test_show_and_its_parts(good: Path) -> None:
+    assert "gen-b" in lockspoke("inventory", "show", good).output
+    assert json.loads(lockspoke("inventory", "show", good, "--json", "--select", "w2").output)[0]["name"] == "w2"
+    assert str(good) + ":3:4" in lockspoke("inventory", "show", good, "--host", "w2").output
+    assert lockspoke("inventory", "show", good, "--host", "w9").exit_code == 2
+    groups = lockspoke("inventory", "show", good, "--groups", "--json").output
+    assert json.loads(groups) == {"all": ["w1", "w2"]}
+    assert "INV403" in lockspoke("inventory", "codes").output
+
+
+def test_convert_diff_and_plan(good: Path, tmp_path: Path) -> None:
+    new = tmp_path / "new.yaml"
+    assert code(lockspoke("inventory", "convert", good, "--to", "yaml", "-o", new)) == 0
+    assert code(lockspoke("inventory", "diff", good, new)) == 0
+    new.write_text("all: {hosts: {w1: {host: 10.0.0.1, port: 5001}, w3: {host: 10.0.0.3, port: 5000}}}")
+    rows = json.loads(lockspoke("inventory", "diff", good, new, "--json").output)
+    assert [(row["host"], row["sign"]) for row in rows] == [("w1", "~"), ("w2", "-"), ("w3", "+")]
+    done = lockspoke("inventory", "plan", good, new, "--json")
+    acts = {row["host"]: row["act"] for row in json.loads(done.output)}
+    assert acts == {"w1": "change", "w2": "remove", "w3": "add"} and code(done) == 0
+    fleet = "name,host,port\n" + "".join(f"w{n},10.0.0.{n},5000\n" for n in range(1, 23))
+    good.write_text(fleet)
+    half = tmp_path / "half.csv"
+    half.write_text("".join(fleet.splitlines(True)[:12]))
+    done = lockspoke("inventory", "plan", good, half)
+    assert "guard" in done.output and code(done) == 1
+    done = lockspoke("inventory", "plan", good, half, "--accept")
+    assert done.output.count(" remove ") == 11 and code(done) == 0
+    half.write_text("name,host,port\nw1,nowhere,5000\n")
+    done = lockspoke("inventory", "convert", half, "--to", "csv", "-o", tmp_path / "never.csv")
+    assert code(done) == 1 and not (tmp_path / "never.csv").exists()
+
+
+def test_watch_prints_what_it_would_decide(good: Path) -> None:
+    (line,) = lockspoke("inventory", "watch", good, "--json", "--rounds", 1).output.splitlines()
+    assert json.loads(line) == {"workers": 2, "problems": [], "decisions": []}
+
+
+def test_config_check_names_file_line_key_and_the_nearest_known(tmp_path: Path) -> None:
+    edge = tmp_path / "edge.toml"
+    edge.write_text(
+        '[inventory]\npaths = ["a.csv"]\nselekt = "x"\npoll = "often"\n\n[inventory.guard]\nremoved_share = 1.5\n'
+        '[inventry]\n[batch]\nlisten = "127.0.0.1:0"\nconcurrency = 0\n'
+    )
+    done = process("config", "check", "--edge", edge)
+    assert done.returncode == 1
+    for told in (
+        f"{edge}:3: inventory.selekt is unknown; did you mean select?",
+        f"{edge}:4: inventory.poll is 'often': expected float, got str",
+        f"{edge}:7: inventory.guard.removed_share is 1.5: expected float <= 1.0",
+        f"{edge}:8: inventry is no section; did you mean inventory?",
+        f"{edge}:9: batch.store is missing",
+        f"{edge}:11: batch.concurrency is 0: expected int >= 1",
+    ):
+        assert told in done.stderr, done.stderr
+    for text, told in (
+        ("[inventory]\npaths = []\n", f"{edge}:2: inventory.paths is empty"),
+        ('[inventory]\npaths = ["a"]\nselect = "["\n', f"{edge}:3: inventory.select is wrong"),
+        ('[inventory]\npaths = ["a"]\nnames = {a = "b"}\n', f"{edge}:3: inventory.names maps to 'b'"),
+        ("[inventory\n", f"{edge}: "),
+        ("inventory = 3\n", f"{edge}:1: inventory is no table"),
+    ):
+        edge.write_text(text)
+        done = process("config", "check", "--edge", edge)
+        assert done.returncode == 1 and told in done.stderr, done.stderr
+    assert process("config", "check", "--edge", ROOT / "deploy" / "edge.toml").returncode == 0
+    assert process("config", "check").returncode == 2
+
+
+def test_help_has_examples_and_shells_complete() -> None:
+    for command in ("check", "show", "diff", "plan", "convert", "status", "watch"):
+        assert "lockspoke inventory" in lockspoke("inventory", command, "--help").output.split("Example")[1]
+    assert "_LOCKSPOKE_COMPLETE" in lockspoke("completion", "bash").output
+
+
+def test_the_gateway_alone_loads_none_of_it() -> None:
+    probe = "import sys, lockspoke.lifecycle.program; print(sorted({m.split('.')[0] for m in sys.modules}))"
+    loaded = subprocess.run([sys.executable, "-c", probe], cwd=ROOT, capture_output=True, text=True, timeout=60).stdout
+    for heavy in ("yaml", "click", "rich", "msgspec", "lark", "watchfiles", "anyio", "multipart"):
+        assert f"'{heavy}'" not in loaded
--- /dev/null
+++ b/tests/inventory/test_source.py
@@ -0,0 +1,350 @@
+"""The program fed by files, on sockets: removals, drains, half-written files, restarts, a helper that dies."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lockspoke.cli.main import run as lockspoke
+from tests.standins import EVENTS, HEAD, TAIL, Client, FakeWorker, Program, call_bytes, chunk, until
+
+WHOLE = b"".join([*EVENTS, TAIL])
+GRACE = 0.25  # seconds after which nothing new may come to a worker that has been taken out
+
+
+def edge(folder: Path, **values: Any) -> tuple[str, str]:
+    """The options of a program whose inventory is `workers.csv` in a folder."""
+    values = {"paths": [str(folder / "workers.csv")], "guard.new_is_cold": False, "guard.flap_limit": 1e6} | values
+    path = folder / "edge.toml"
+    path.write_text("[inventory]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in values.items()))
+    return "--edge", str(path)
+
+
+def rows(*workers: FakeWorker, **states: str) -> str:
+    lines = [f"w{at},127.0.0.1,{worker.port},{states.get(f'w{at}', 'up')}" for at, worker in enumerate(workers)]
+    return "\n".join(["name,host,port,state", *lines]) + "\n"
+
+
+def place(path: Path, text: str) -> float:
+    """Put a file in place whole; gives when."""
+    beside = path.with_name(".new")
+    beside.write_text(text)
+    beside.replace(path)
+    return time.monotonic()
+
+
+class Timed(FakeWorker):
+    """Notes when each request came."""
+
+    def __init__(self, *arguments: Any) -> None:
+        super().__init__(*arguments)
+        self.times: list[float] = []
+
+    async def answer(self, request: Any, writer: asyncio.StreamWriter) -> None:
+        self.times.append(time.monotonic())
+        await super().answer(request, writer)
+
+
+async def workers(stack: AsyncExitStack, count: int) -> list[Timed]:
+    return [await stack.enter_async_context(Timed()) for _ in range(count)]
+
+
+def decided(program: Program, act: str, host: str, times: int = 1) -> Callable[[], bool]:
+    def look() -> bool:
+        found = [one for one in program.logs if (one.get("act"), one.get("host")) == (act, host)]
+        return len(found) >= times
+
+    return look
+
+
+class Load:
+    """Clients that ask one call after another, each on its own connection."""
+
+    def __init__(self, port: int, clients: int) -> None:
+        self.statuses: list[tuple[int, bytes, bool]] = []
+        self.number = 0
+        self.tasks = [asyncio.ensure_future(self._ask(port)) for _ in range(clients)]
+
+    async def _ask(self, port: int) -> None:
+        async with Client(port) as client:
+            while True:
+                self.number += 1
+                status, _, body, whole = await client.ask(call_bytes(self.number))
+                self.statuses.append((status, body, whole))
+
+    async def end(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for done in await asyncio.gather(*self.tasks, return_exceptions=True):
+            assert isinstance(done, asyncio.CancelledError), done
+
+
+def with_folder(test: Callable[[Path], Awaitable[None]]) -> Callable[[Path], None]:
+    def wrapped(tmp_path: Path) -> None:
+        asyncio.run(test(tmp_path))  # type: ignore[arg-type]
+
+    wrapped.__name__ = test.__name__  # type: ignore[attr-defined]
+    return wrapped
+
+
+@with_folder
+async def test_under_load_nothing_new_comes_to_a_worker_taken_out(folder: Path) -> None:
+    """The measurement over 500 removals is bench/inventory.py; this is the same in small."""
+    path = folder / "workers.csv"
+    async with AsyncExitStack() as stack:
+        fleet = await workers(stack, 5)
+        place(path, rows(*fleet))
+        program = await stack.enter_async_context(Program(options=edge(folder)))
+        load = Load(program.port, 6)
+        for cycle in range(12):
+            out = cycle % len(fleet)
+            text = "".join(line for line in rows(*fleet).splitlines(True) if not line.startswith(f"w{out},"))
+            when = place(path, text)
+            await until(decided(program, "remove", f"w{out}", cycle // len(fleet) + 1))
+            seen = len(load.statuses)
+            await until(lambda when=when, seen=seen: time.monotonic() > when + GRACE + 0.1 and len(load.statuses) > seen + 20)  # type: ignore[misc]
+            assert max(fleet[out].times, default=0.0) <= when + GRACE
+            place(path, rows(*fleet))
+            await until(decided(program, "add", f"w{out}", cycle // len(fleet) + 1))
+        await load.end()
+        assert set(load.statuses) == {(200, WHOLE, True)}
+
+
+@with_folder
+async def test_a_host_removed_while_draining_ends_its_streams_whole(folder: Path) -> None:
+    path, go = folder / "workers.csv", asyncio.Event()
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(EVENTS[0]))
+        await go.wait()
+        writer.write(chunk(EVENTS[1]) + chunk(TAIL) + chunk(b""))
+
+    async with FakeWorker(script) as slow, Timed() as other:
+        place(path, rows(slow))
+        async with Program(options=edge(folder, **{"guard.removed_least": 5})) as program:
+            async with Client(program.port) as first, Client(program.port) as second:
+                first.writer.write(call_bytes(1))
+                await until(lambda: bool(slow.seen))
+                place(path, rows(slow, other, w0="draining"))
+                await until(decided(program, "drain", "w0"))
+                assert (await second.ask(call_bytes(2)))[0] == 200 and len(other.seen) == 1
+                place(path, rows(slow, other).replace(rows(slow).splitlines()[1] + "\n", ""))
+                await until(decided(program, "remove", "w0"))
+                # Put back within 100 ms at its address, with its stream still open.
+                place(path, rows(slow, other, w0="draining"))
+                await until(decided(program, "add", "w0"))
+                for number in range(3, 9):
+                    assert (await second.ask(call_bytes(number)))[0] == 200
+                assert len(slow.seen) == 1 and len(other.seen) == 7
+                go.set()
+                status, _, body, whole = await asyncio.wait_for(first.answer(), 30)
+                assert (status, body, whole) == (200, WHOLE, True)
+            assert await program.terminate() == 0
+
+
+@with_folder
+async def test_removed_and_put_back_at_once_serves_on(folder: Path) -> None:
+    path = folder / "workers.csv"
+    async with AsyncExitStack() as stack:
+        fleet = await workers(stack, 2)
+        place(path, rows(*fleet))
+        program = await stack.enter_async_context(Program(options=edge(folder)))
+        load = Load(program.port, 3)
+        await until(lambda: all(worker.seen for worker in fleet))
+        for cycle in range(1, 6):
+            place(path, rows(fleet[0]))
+            await until(decided(program, "remove", "w1", cycle))
+            place(path, rows(*fleet))
+            await until(decided(program, "add", "w1", cycle))
+            seen = len(fleet[1].seen)
+            await until(lambda seen=seen: len(fleet[1].seen) > seen)  # type: ignore[misc]
+        await load.end()
+        assert set(load.statuses) == {(200, WHOLE, True)}
+
+
+@with_folder
+async def test_a_file_cut_short_by_its_writer_and_filled_up_again_removes_nobody(folder: Path) -> None:
+    path = folder / "workers.csv"
+    async with AsyncExitStack() as stack:
+        fleet = await workers(stack, 4)
+        text = rows(*fleet)
+        place(path, text)
+        program = await stack.enter_async_context(Program(options=edge(folder, quiet=0.3)))
+        load = Load(program.port, 2)
+        with path.open("w") as file:  # in place: empty at first, then line by line
+            for line in [*text.splitlines(True), "w9,nowhere,1,up\n"]:
+                file.write(line)
+                file.flush()
+                seen = len(load.statuses)
+                await until(lambda seen=seen: len(load.statuses) > seen)  # type: ignore[misc]
+        await until(lambda: program.log("inventory_problem", code="INV305") is not None)
+        # And one that is gone for a moment, and one halved for good.
+        path.rename(folder / "away")
+        seen = len(load.statuses)
+        await until(lambda: len(load.statuses) > seen + 5)
+        (folder / "away").rename(path)
+        place(path, rows(*fleet[:2]))
+        await until(decided(program, "guard", ""))
+        await load.end()
+        assert not [one for one in program.logs if one.get("act") == "remove"]
+        assert set(load.statuses) == {(200, WHOLE, True)}
+
+
+@with_folder
+async def test_a_half_edited_file_keeps_the_last_good_kind_and_a_swap_is_followed(folder: Path) -> None:
+    path = folder / "workers.csv"
+    async with AsyncExitStack() as stack:
+        one, two = await workers(stack, 2)
+        good = f"name,host,port,kind\nw0,127.0.0.1,{one.port},gen-a\nw1,127.0.0.1,{two.port},gen-b\n"
+        place(path, good)
+        options = edge(folder, **{"kinds.gen-a": 0.5, "kinds.gen-b": 1.0})
+        program = await stack.enter_async_context(Program(options=options))
+        client = await stack.enter_async_context(Client(program.port))
+        place(path, good + f"w0,127.0.0.1,{one.port},gen-b\n")
+        await until(lambda: program.log("inventory_problem", code="INV403", line=4) is not None)
+        await until(decided(program, "hold", "w0"))
+        number = 0
+        while not one.seen:
+            number += 1
+            assert (await client.ask(call_bytes(number)))[0] == 200
+        place(path, good.replace(str(one.port), "x").replace(str(two.port), str(one.port)).replace("x", str(two.port)))
+        await until(lambda: decided(program, "change", "w0")() and decided(program, "change", "w1")())
+        before = len(one.seen), len(two.seen)
+        while len(one.seen) == before[0] or len(two.seen) == before[1]:
+            number += 1
+            assert (await client.ask(call_bytes(number)))[0] == 200
+
+
+@with_folder
+async def test_a_restart_amid_a_half_edited_file_starts_from_the_kept_list(folder: Path) -> None:
+    path, keep = folder / "workers.csv", folder / "keep"
+    async with Timed() as one, Timed() as two:
+        place(path, rows(one, two))
+        options = edge(folder, keep=str(keep))
+        async with Program(options=options) as program:
+            await until(lambda: (keep / "inventory.last").exists())
+            assert await program.terminate() == 0
+        place(path, 'name,host,port\n"w0,127')
+        async with Program(options=options) as program, Client(program.port) as client:
+            assert program.log("inventory_kept_used", workers=2) is not None
+            assert program.log("inventory_problem", code="INV104", line=2) is not None
+            assert (await client.ask(call_bytes(1)))[0] == 200
+            await until(lambda: (keep / "inventory.status.json").exists())
+            assert lockspoke(["inventory", "status", "--keep", str(keep)]) == 1  # both are held
+            program.process.kill()
+            await program.process.wait()
+        kept = (keep / "inventory.last").read_bytes()
+        (keep / "inventory.last").write_bytes(kept[:-1] + b"?")
+        place(path, rows(one, two))
+        async with Program(options=options) as program, Client(program.port) as client:
+            assert "checksum" in program.log("inventory_kept_unusable")["reason"]  # type: ignore[index]
+            assert (await client.ask(call_bytes(1)))[0] == 200
+
+
+def test_with_neither_a_good_file_nor_a_kept_list_it_says_why_and_ends(tmp_path: Path) -> None:
+    (tmp_path / "workers.csv").write_text("name,host,port\nw0,nowhere,1\n")
+
+    async def play() -> None:
+        program = Program(options=edge(tmp_path))
+        with pytest.raises(AssertionError):
+            await program.__aenter__()
+        assert program.process.returncode == 2
+        await program.reading
+        assert any("workers.csv:2:4: INV305" in line for line in program.raw)
+
+    asyncio.run(play())
+
+
+@with_folder
+async def test_an_operator_accepts_a_mass_removal(folder: Path) -> None:
+    path, keep = folder / "workers.csv", folder / "keep"
+    keep.mkdir()
+    async with AsyncExitStack() as stack:
+        fleet = await workers(stack, 8)
+        place(path, rows(*fleet))
+        program = await stack.enter_async_context(Program(options=edge(folder, keep=str(keep))))
+        place(path, rows(*fleet[:4]))
+        await until(decided(program, "guard", ""))
+        fingerprint = program.log("inventory_read", decisions=1)["fingerprint"]  # type: ignore[index]
+        assert lockspoke(["inventory", "accept", fingerprint, "--keep", str(keep)]) == 0
+        await until(decided(program, "accept", ""))
+        await until(decided(program, "remove", "w7"))
+
+
+@with_folder
+async def test_sighup_takes_up_the_edge_file_all_or_none(folder: Path) -> None:
+    path = folder / "workers.csv"
+    async with Timed() as one, Timed() as two:
+        place(path, rows(one, two))
+        options = edge(folder)
+        async with Program(options=options) as program:
+            good = Path(options[1]).read_text()
+            Path(options[1]).write_text(good + "pole = 3\n")
+            program.process.send_signal(signal.SIGHUP)
+            await until(lambda: program.log("reload_refused") is not None)
+            assert "inventory.pole is unknown; did you mean poll?" in program.log("reload_refused")["reason"]  # type: ignore[index]
+            Path(options[1]).write_text(good + "select = '!w1'\n")
+            program.process.send_signal(signal.SIGHUP)
+            await until(decided(program, "remove", "w1"))
+            assert await program.terminate() == 0
+
+
+@with_folder
+async def test_links_swapped_folders_and_polling(folder: Path) -> None:
+    """What configuration tools and mounted volumes do, with notice and without."""
+    async with Timed() as one, Timed() as two:
+        for number, watch in enumerate(("notice", "poll")):
+            base = folder / watch
+            for name, fleet in (("v1", (one, two)), ("v2", (one,))):
+                (base / name).mkdir(parents=True)
+                (base / name / "workers.csv").write_text(rows(*fleet))
+            (base / "now").symlink_to("v1")
+            (base / "workers.csv").symlink_to("now/workers.csv")
+            options = edge(base, watch=watch, poll=0.05 if number else 600.0)
+            async with Program(options=options) as program:
+                (base / "next").symlink_to("v2")
+                (base / "next").replace(base / "now")
+                await until(decided(program, "remove", "w1"))
+
+
+@with_folder
+async def test_large_lists_are_read_by_a_helper_that_may_die(folder: Path) -> None:
+    path = folder / "workers.csv"
+    async with AsyncExitStack() as stack:
+        fleet = await workers(stack, 3)
+        place(path, rows(*fleet))
+        program = await stack.enter_async_context(Program(options=edge(folder, inline_kb=0)))
+        for cycle in range(1, 3):
+            place(path, rows(*fleet[:2]))
+            await until(decided(program, "remove", "w2", cycle))
+            (helper,) = children(program.process.pid)
+            os.kill(helper, signal.SIGKILL)
+            place(path, rows(*fleet))
+            await until(decided(program, "add", "w2", cycle))
+        (helper,) = children(program.process.pid) or (0,)
+        program.process.kill()
+        await program.process.wait()
+        await until(lambda: not helper or not Path(f"/proc/{helper}/cmdline").exists() or not Path(f"/proc/{helper}/cmdline").read_bytes())
+
+
+def children(pid: int) -> list[int]:
+    found = []
+    for stat in Path("/proc").glob("[0-9]*/stat"):
+        try:
+            state, parent = stat.read_text().rpartition(")")[2].split()[:2]
+        except OSError:
+            continue
+        if int(parent) == pid and state != "Z":
+            found.append(int(stat.parent.name))
+    return found
+
+
