--- a/lockspoke/cli/inventory.py
+++ b/lockspoke/cli/inventory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import replace
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
 from typing import Any
@@ -250,7 +251,8 @@
 
 def plan_of(caution: Caution, before: Snapshot, after: Snapshot, accept: bool) -> tuple[Decision, ...]:
     """The decisions that lead from one snapshot to the other, a while later."""
-    reconciler = Reconciler(caution)
+    # What is compared is taken as done: nobody is writing it any more.
+    reconciler = Reconciler(replace(caution, unfinished_ms=0))
     reconciler.step(before, 0)
     if accept:
         reconciler.accept(after.fingerprint)
--- a/lockspoke/inventory/ansible_reader.py
+++ b/lockspoke/inventory/ansible_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterator
 from typing import Any
 
@@ -104,9 +105,10 @@
         return
     try:
         # A stack of its own: children nest as deep as the document does.
-        waiting = [(key, value, ()) for key, value in walk.pairs(root, "the top of the file")]
+        waiting: deque[tuple[Scalar, Node, tuple[str, ...]]] = deque()
+        waiting.extend((key, value, ()) for key, value in walk.pairs(root, "the top of the file"))
         while waiting:
-            name, node, above = waiting.pop(0)
+            name, node, above = waiting.popleft()
             waiting += _group(source, names, walk, name, node, above)
             if len(names) > HOSTS:
                 raise LimitError(f"more than {HOSTS} hosts at {name.place}")
@@ -122,14 +124,14 @@
     key: Scalar,
     node: Node,
     above: tuple[str, ...],
-) -> list[tuple[Scalar, Node, Any]]:
+) -> list[tuple[Scalar, Node, tuple[str, ...]]]:
     text = key.text or ""
     group = source.group(text, key.place)
     if text in above:
         message = f"group {text!r} is its own ancestor, by {' > '.join([*above, text])}"
         walk.problems.add(GROUP_LOOP, key.place, message, "take one of the steps out")
         return []
-    below: list[tuple[Scalar, Node, Any]] = []
+    below: list[tuple[Scalar, Node, tuple[str, ...]]] = []
     for part, value in walk.pairs(node, f"group {text!r}"):
         if part.text == "vars":
             group_variables(group, value, walk)
--- a/lockspoke/inventory/reading.py
+++ b/lockspoke/inventory/reading.py
@@ -75,7 +75,7 @@
             source = read_ini(text, file.path, problems)
         elif form in ("yaml", "json"):
             root = tree(text, file.path, form)
-            (read_listing if is_listing(root) else read_groups)(root, source, problems)
+            (read_listing if is_listing(root, form) else read_groups)(root, source, problems)
         else:
             mend = "name it .csv, .yaml, .json or .ini, or set form"
             problems.add(UNKNOWN_FORM, place, "its form can't be told", mend)
@@ -165,13 +165,15 @@
     return "" if first.startswith(("<", "#!")) else "ini"
 
 
-def is_listing(root: Node | None) -> bool:
+def is_listing(root: Node | None, form: str) -> bool:
     """Whether a tree is what `ansible-inventory --list` prints, rather than groups with hosts as mappings."""
     if not isinstance(root, documents.Mapping):
         return False
     for key, node in root.items:
         if isinstance(key, documents.Scalar) and key.text == "_meta":
             return True
+        if form != "json":
+            continue  # in YAML, a list of hosts is a mistake that is met often
         if isinstance(node, documents.Sequence):
             return True
         if isinstance(node, documents.Mapping):
--- a/lockspoke/inventory/reconcile.py
+++ b/lockspoke/inventory/reconcile.py
@@ -171,7 +171,8 @@
             if name not in wishes and name not in snapshot.workers:
                 wishes[name] = self._absent(name, snapshot, now_ms)
         for name, reason in snapshot.bad.items():
-            if name not in self.known and name not in snapshot.workers:
+            known = name in self.known or name in snapshot.workers
+            if not known and snapshot.drains.get(name) != "removed":
                 wishes[name] = _Wish(Act.KEEP_OUT, None, f"its row is wrong: {reason}")
         self._guard_masses(wishes, snapshot, now_ms)
         self._untangle(wishes)
@@ -273,11 +274,12 @@
         """Hold a mass of removals that nobody has said in so many words."""
         going = [name for name, wish in wishes.items() if wish.act is Act.REMOVE and not wish.explicit]
         caution = self.caution
-        recent = len(self._removals)
+        # One that is back, or comes back with this snapshot, is not missing any more.
+        back = {name for name, wish in wishes.items() if wish.record is not None}
+        recent = sum(name not in back for _, name in self._removals)
         total = len(self.known) + recent
         count = len(going) + recent
-        staying = any(wish.record is not None for wish in wishes.values())
-        emptied = bool(going) and not staying
+        emptied = bool(going) and not back
         if not going or (count <= max(caution.removed_least, caution.removed_share * total) and not emptied):
             self.guard = None
             return
--- a/lockspoke/inventory/schema.py
+++ b/lockspoke/inventory/schema.py
@@ -379,10 +379,12 @@
     for address, sharing in stands.items():
         if len(sharing) < 2:
             continue
+        shown = sorted({one.row.name for one in sharing})
+        names = " and ".join(shown[:3]) + (" and others" if len(shown) > 3 else "")
         for one in sharing:
             other = sharing[0] if one is not sharing[0] else sharing[1]
             host = f"[{address[0]}]" if ":" in address[0] else address[0]
-            message = f"{one.row.name} and {other.row.name} have one address, {host}:{address[1]}"
+            message = f"{names} have one address, {host}:{address[1]}"
             mend = "give each its own, or take one of them out"
             place = _address_place(one.row)
             one.problems.append(
