--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that anyone can run again: `python -m bench.NAME`."""
--- a/lockspoke/inventory/helper.py
+++ b/lockspoke/inventory/helper.py
@@ -9,7 +9,7 @@
 import asyncio
 import gc
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from pathlib import Path
 from typing import Any, BinaryIO
 
@@ -21,7 +21,7 @@
 from .settings import Settings
 from .snapshot import Memory, take
 
-PART = 500  # rows in one message
+PART = 250  # rows in one message
 MOST_PROBLEMS = 2_000  # that are passed on; their number always is
 ANSWER = 120.0  # seconds for a read, after which the helper is given up
 
@@ -76,7 +76,8 @@
 class Gathering:
     """Puts a snapshot together again, part by part."""
 
-    def __init__(self) -> None:
+    def __init__(self, before: Mapping[str, WorkerRecord]) -> None:
+        self.before = before  # an equal record is taken from here: to see that it is the same is cheap then
         self.workers: dict[str, WorkerRecord] = {}
         self.files: dict[str, tuple[str, ...]] = {}
         self.bad: dict[str, str] = {}
@@ -85,7 +86,8 @@
     def add(self, part: Part) -> Snapshot | None:
         """Take a part; the last gives the whole."""
         for worker, files in zip(part.workers, part.files, strict=True):
-            self.workers[worker.name] = worker
+            old = self.before.get(worker.name)
+            self.workers[worker.name] = old if old is not None and old == worker else worker
             self.files[worker.name] = tuple(files)
         for name, (why, files) in part.bad.items():
             self.bad[name], self.files[name] = why, tuple(files)
@@ -112,18 +114,14 @@
 
     def __init__(self) -> None:
         self._process: asyncio.subprocess.Process | None = None
+        self._starting: asyncio.Task[asyncio.subprocess.Process] | None = None
         self._decoder = msgspec.msgpack.Decoder(Part)
 
-    async def read(self, settings: Settings, zones: tuple[str, ...]) -> Snapshot:
-        """Have the sources read. Raises HelperError; the next call begins with a new process."""
-        try:
-            async with asyncio.timeout(ANSWER):
-                return await self._read(settings, zones)
-        except (OSError, EOFError, TimeoutError, msgspec.MsgspecError, ValueError) as error:
-            self.close()
-            raise HelperError(f"{type(error).__name__}: {error}") from None
+    def begin(self) -> None:
+        """Start the process before it is needed: its start takes longer than most reads."""
+        self._starting = asyncio.ensure_future(self._start())
 
-    async def _read(self, settings: Settings, zones: tuple[str, ...]) -> Snapshot:
+    async def _start(self) -> asyncio.subprocess.Process:
         if self._process is None or self._process.returncode is not None:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -134,11 +132,30 @@
                 stdout=asyncio.subprocess.PIPE,
                 start_new_session=True,  # a signal to the gateway's group is not for it
             )
-        process = self._process
+        return self._process
+
+    async def read(
+        self, settings: Settings, zones: tuple[str, ...], before: Mapping[str, WorkerRecord]
+    ) -> Snapshot:
+        """Have the sources read. Raises HelperError; the next call begins with a new process."""
+        try:
+            async with asyncio.timeout(ANSWER):
+                return await self._read(settings, zones, before)
+        except (OSError, EOFError, TimeoutError, msgspec.MsgspecError, ValueError) as error:
+            self.close()
+            raise HelperError(f"{type(error).__name__}: {error}") from None
+
+    async def _read(
+        self, settings: Settings, zones: tuple[str, ...], before: Mapping[str, WorkerRecord]
+    ) -> Snapshot:
+        if self._starting is not None:
+            starting, self._starting = self._starting, None
+            await starting
+        process = await self._start()
         assert process.stdin is not None and process.stdout is not None
         process.stdin.write(_framed(Ask(settings, list(zones))))
         await process.stdin.drain()
-        gathering = Gathering()
+        gathering = Gathering(before)
         while True:
             size = int.from_bytes(await process.stdout.readexactly(4), "big")
             snapshot = gathering.add(self._decoder.decode(await process.stdout.readexactly(size)))
--- a/lockspoke/inventory/reconcile.py
+++ b/lockspoke/inventory/reconcile.py
@@ -164,17 +164,24 @@
         self._note_ends(snapshot, now_ms)
         self._forget(now_ms)
         wishes: dict[str, _Wish] = {}
+        unchanged = False
         for name, record in snapshot.workers.items():
+            known = self.known.get(name)
+            # A large list is mostly as it was: what says the same as before costs next to nothing.
+            if known is not None and not known.held and (record is known.record or record == known.record):
+                unchanged, known.record = True, record
+                known.files = snapshot.files.get(name, known.files)
+                continue
             if (wish := self._present(name, record, now_ms)) is not None:
                 wishes[name] = wish
         for name in self.known:
             if name not in wishes and name not in snapshot.workers:
                 wishes[name] = self._absent(name, snapshot, now_ms)
         for name, reason in snapshot.bad.items():
-            known = name in self.known or name in snapshot.workers
-            if not known and snapshot.drains.get(name) != "removed":
+            taken = name in self.known or name in snapshot.workers
+            if not taken and snapshot.drains.get(name) != "removed":
                 wishes[name] = _Wish(Act.KEEP_OUT, None, f"its row is wrong: {reason}")
-        self._guard_masses(wishes, snapshot, now_ms)
+        self._guard_masses(wishes, snapshot, now_ms, unchanged)
         self._untangle(wishes)
         entries = self._carry_out(wishes, snapshot, now_ms)
         self.out = {name: wish.reason for name, wish in wishes.items() if wish.act is Act.KEEP_OUT}
@@ -244,7 +251,7 @@
         for file in list(self._open_ended):
             if file not in snapshot.open_ended:
                 del self._open_ended[file]
-        for files in snapshot.files.values():
+        for files in set(snapshot.files.values()):
             self._ended.update(file for file in files if file not in snapshot.open_ended)
         settled = [
             file for file, since in self._open_ended.items() if now_ms >= since + self.caution.unfinished_ms
@@ -270,16 +277,18 @@
 
     # What concerns many hosts
 
-    def _guard_masses(self, wishes: dict[str, _Wish], snapshot: Snapshot, now_ms: int) -> None:
+    def _guard_masses(
+        self, wishes: dict[str, _Wish], snapshot: Snapshot, now_ms: int, unchanged: bool
+    ) -> None:
         """Hold a mass of removals that nobody has said in so many words."""
         going = [name for name, wish in wishes.items() if wish.act is Act.REMOVE and not wish.explicit]
         caution = self.caution
         # One that is back, or comes back with this snapshot, is not missing any more.
         back = {name for name, wish in wishes.items() if wish.record is not None}
-        recent = sum(name not in back for _, name in self._removals)
+        recent = sum(name not in back and name not in self.known for _, name in self._removals)
         total = len(self.known) + recent
         count = len(going) + recent
-        emptied = bool(going) and not back
+        emptied = bool(going) and not back and not unchanged
         if not going or (count <= max(caution.removed_least, caution.removed_share * total) and not emptied):
             self.guard = None
             return
@@ -318,13 +327,17 @@
         The one that would come to the address gives way to the one that is there. That may leave it where
         a third one wants to go, so it is done until nothing clashes; each round holds one more host.
         """
+        if not any(self._comes(name, wishes) for name, wish in wishes.items() if wish.record is not None):
+            return
+        still = {one.record.address: name for name, one in self.known.items() if name not in wishes}
         while True:
             at: dict[tuple[str, int], str] = {}
             clash: tuple[str, str] | None = None
             for name, wish in wishes.items():
                 if wish.record is None:
                     continue
-                other = at.setdefault(wish.record.address, name)
+                address = wish.record.address
+                other = still.get(address) or at.setdefault(address, name)
                 if other != name:
                     clash = (other, name)
                     break
--- a/lockspoke/inventory/settings.py
+++ b/lockspoke/inventory/settings.py
@@ -54,7 +54,7 @@
         0.1  # without a write, for a file written in place
     )
     missing: Annotated[float, msgspec.Meta(ge=0.0, le=60.0)] = 1.0  # that a file may be away unremarked
-    inline_kb: Whole = 64  # larger inventories are read in a process of their own
+    inline_kb: Whole = 8  # larger inventories are read in a process of their own
     keep: str = ""  # a folder that lasts, for the last good list and the status
     guard: Guard = Guard()
 
--- a/lockspoke/inventory/source.py
+++ b/lockspoke/inventory/source.py
@@ -33,7 +33,8 @@
 from .settings import Settings
 from .snapshot import Memory, take
 
-STEP_MS = 10  # of the notice: how long after a change it looks for more
+STEP_MS = 5  # of the notice: how long after a change it looks for more
+SAVE = 0.2  # seconds between two writes of what is kept
 RETRY = 5.0  # seconds after which a notice that failed is tried again
 BATCH = 500  # entries that the registry is given at once
 LINES = 40  # log lines of one sort from one look; the rest are counted
@@ -76,7 +77,7 @@
         self._halt = threading.Event()  # ends the notice's thread
         self._threads = ThreadPoolExecutor(2, "inventory")
         self._saving: asyncio.Future[Any] | None = None
-        self._unsaved: tuple[bytes, bytes] | None = None
+        self._unsaved = False
         self._recent: list[dict[str, Any]] = []
 
     @property
@@ -137,6 +138,8 @@
             self._halt = threading.Event()
             self._tasks = [asyncio.ensure_future(self._run()), asyncio.ensure_future(self._notice())]
             self._begin_saving()
+            if self._large:
+                self._helper.begin()
         asyncio.get_running_loop().call_soon(self._confirm)
 
     def _confirm(self) -> None:
@@ -173,7 +176,8 @@
         self._end_tasks()
         self._helper.close()
         self._threads.shutdown(wait=True)
-        self._write(self._unsaved)
+        if self._unsaved:
+            self._write()
 
     def _end_tasks(self) -> None:
         self._halt.set()
@@ -241,7 +245,7 @@
     async def _look(self) -> None:
         """Read the files if they have changed, once whoever writes them is done."""
         await self._take_accept()
-        now = await self._off(signature, self.paths)
+        now = await self._signed()
         expired = any(until < time.monotonic() for _, until in self._names.values())
         if now == self._signature and not self._again and not expired:
             if self.snapshot is not None and self._wake is None:
@@ -252,6 +256,17 @@
             await self._read()
         self._step()
 
+    @property
+    def _large(self) -> bool:
+        """Whether the sources are more than the loop should read between two calls."""
+        return _size(self._signature) > self.settings.inline_kb * 1024
+
+    async def _signed(self) -> tuple[object, ...]:
+        """The sources' signature: on the loop where that costs less than the way to a thread and back."""
+        if self.settings.watch == "poll" or len(self._signature) > 50:
+            return await self._off(signature, self.paths)  # type: ignore[no-any-return]
+        return signature(self.paths)
+
     async def _settled(self, now: tuple[object, ...]) -> tuple[object, ...]:
         """Wait while a file is written in place, or away for a moment; one renamed into place is whole."""
         began = asyncio.get_running_loop().time()
@@ -263,7 +278,7 @@
                 await asyncio.sleep(self.settings.quiet)
             else:
                 return now
-            latest = await self._off(signature, self.paths)
+            latest = await self._signed()
             if latest == now and not gone:
                 return now
             now = latest
@@ -273,18 +288,18 @@
         settings, zones = self.settings, self.zones
         began = time.perf_counter()
         snapshot: Snapshot | None = None
-        if _size(self._signature) > settings.inline_kb * 1024:
+        if self._large:
             try:
-                snapshot = await self._helper.read(settings, zones)
+                before = self.snapshot.workers if self.snapshot is not None else {}
+                snapshot = await self._helper.read(settings, zones, before)
             except HelperError as error:
                 log.error("inventory_helper_failed", reason=str(error))
         if snapshot is None:
-            files = await self._off(collect, self.paths)
-            large = sum(len(file.data or b"") for file in files) > settings.inline_kb * 1024
-            if large:  # without its helper: slower for calls, but never blind
+            if self._large:  # without its helper: slower for calls, but never blind
+                files = await self._off(collect, self.paths)
                 snapshot = (await self._off(take, files, settings.reading(zones))).snapshot
             else:
-                snapshot = take(files, settings.reading(zones), self._memory).snapshot
+                snapshot = take(collect(self.paths), settings.reading(zones), self._memory).snapshot
         assert snapshot is not None
         if settings.lookups:
             names = {one.host for one in snapshot.workers.values() if not is_ip(one.host)}
@@ -421,7 +436,7 @@
             else {"since_ms": guard.since_ms, "hosts": guard.hosts, "accept": guard.fingerprint},
             "workers": [
                 one.record.as_json() | {"held": one.held, "boot_ms": one.boot_ms}
-                for one in reconciler.known.values()
+                for one in list(reconciler.known.values())
             ],
             "kept_out": dict(reconciler.out),
             "decisions": self._recent[-20:],
@@ -452,30 +467,32 @@
         """Keep the list as the registry has it; writes do not pile up, the latest goes."""
         if not self.settings.keep or self.snapshot is None:
             return
-        data = store.encode(self.reconciler.known.values(), self.snapshot.fingerprint)
-        self._unsaved = data, json.dumps(self.status(), indent=1).encode()
+        self._unsaved = True
         self._begin_saving()
 
     def _begin_saving(self) -> None:
-        if self._saving is None and self._tasks and self._unsaved is not None:
+        if self._saving is None and self._tasks and self._unsaved:
             self._saving = asyncio.ensure_future(self._save_all())
 
     async def _save_all(self) -> None:
         try:
-            while self._unsaved is not None:
-                unsaved, self._unsaved = self._unsaved, None
-                await self._off(self._write, unsaved)
+            while self._unsaved:
+                self._unsaved = False
+                await self._off(self._write)
+                await asyncio.sleep(SAVE)
         finally:
             self._saving = None
 
-    def _write(self, unsaved: tuple[bytes, bytes] | None) -> None:
-        if unsaved is None or not self.settings.keep:
+    def _write(self) -> None:
+        """In a thread, since a large list takes long to encode; what changes meanwhile is written anew."""
+        if not self.settings.keep or self.snapshot is None:
             return
         folder = Path(self.settings.keep)
+        data = store.encode(list(self.reconciler.known.values()), self.snapshot.fingerprint)
         try:
             folder.mkdir(parents=True, exist_ok=True)
-            store.save(folder, unsaved[0])
-            store.save(folder, unsaved[1], store.STATUS_NAME)
+            store.save(folder, data)
+            store.save(folder, json.dumps(self.status(), indent=1).encode(), store.STATUS_NAME)
         except OSError as error:
             log.error("inventory_not_kept", folder=self.settings.keep, reason=str(error))
 
