--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
 # Everyday tasks; the platform itself uses the commands in deploy/balancer.toml.
 PYTHON = .venv/bin/python -B
+# Where the tools are: an environment of our own, unless the caller has one.
+ifndef DEV
 DEV = .dev/bin
+READY = .dev/.built
+endif
 
-.PHONY: build run run-batch test lint ci clean
+.PHONY: build run run-edge test lint ci clean
 
 build:
 	cmp -s requirements.txt .venv/.built || (rm -rf .venv && python3 -m venv .venv && \
@@ -11,16 +15,16 @@
 run: build
 	exec $(PYTHON) -m lockspoke
 
-run-batch: build
-	exec $(PYTHON) -m lockspoke --batch deploy/batch.toml
+run-edge: .dev/.built
+	exec .dev/bin/python -B -m lockspoke --edge deploy/edge.toml
 
 .dev/.built: pyproject.toml
-	rm -rf .dev && python3 -m venv .dev && $(DEV)/pip -q install -e '.[dev]' && touch $@
+	rm -rf .dev && python3 -m venv .dev && .dev/bin/pip -q install -e '.[dev]' && touch $@
 
-test: .dev/.built
+test: $(READY)
 	$(DEV)/python -m pytest
 
-lint: .dev/.built
+lint: $(READY)
 	$(DEV)/ruff check . && $(DEV)/ruff format --check . && PATH=$(DEV):$$PATH $(DEV)/mypy
 
 ci:
