Election of the service address: a lease by majority as a pure step function

Need: where gateways may talk to each other, an address shall move when its holder dies and never have two holders. No sockets yet.

--- /dev/null
+++ b/tests/address/test_election.py
@@ -0,0 +1,249 @@
+"""The election in virtual time: lost, late and repeated messages, cuts, kills, clocks that drift."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lockspoke.address.election import Action, Election, Hold, Kind, Lose, Message, Role, Send, Terms
+from tests.wire.test_http1 import fixed
+
+MS = 1_000_000
+THREE = Terms(("a", "b", "c"))
+
+
+class World:
+    """Members on a network, each with a clock of its own rate; no moment may have two holders."""
+
+    def __init__(
+        self, terms: Terms, seed: int, loss: float = 0.0, delay: tuple[int, int] = (1 * MS, 4 * MS)
+    ) -> None:
+        self.terms, self.random, self.loss, self.delay = terms, Random(seed), loss, delay
+        self.now = 0
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.count = 0
+        self.members: dict[str, Election] = {}
+        self.clocks = {
+            name: (self.random.randrange(10**12), 1 + self.random.uniform(-terms.drift, terms.drift))
+            for name in terms.members
+        }
+        self.until: dict[str, int] = {}  # by holder, when its lease ends in true time
+        self.tokens: list[tuple[int, str]] = []
+        self.gained: list[tuple[int, str]] = []
+        self.cuts: set[frozenset[str]] = set()
+        self.wall = 1_000
+        for name in terms.members:
+            self.start(name)
+
+    def clock(self, name: str) -> int:
+        offset, rate = self.clocks[name]
+        return offset + int(self.now * rate)
+
+    def at(self, time: int, call: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.queue, (time, self.count, call))
+
+    def start(self, name: str) -> None:
+        self.wall += 1_000_000  # the wall clock at a start: far past any term of before
+        made = Election(name, self.terms, self.clock(name), first_term=self.wall, chance=self.random.random)
+        made.set_health(True, self.clock(name))
+        self.members[name] = made
+        self.tick(name, made)
+
+    def tick(self, name: str, made: Election) -> None:
+        if self.members.get(name) is made:
+            self.carry(name, made.tick(self.clock(name)))
+            self.at(self.now + self.random.randrange(2, 15) * MS, lambda: self.tick(name, made))
+
+    def kill(self, name: str) -> None:
+        self.members.pop(name, None)
+        self.until.pop(name, None)
+
+    def carry(self, name: str, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Hold):
+                offset, rate = self.clocks[name]
+                end = int((action.until - offset) / rate)
+                others = {other: at for other, at in self.until.items() if other != name and at > self.now}
+                assert not others, f"{name} and {others} hold at {self.now}"
+                if not self.tokens or self.tokens[-1] != (action.token, name):
+                    assert not self.tokens or action.token > self.tokens[-1][0]
+                    if self.until.get(name, 0) <= self.now:
+                        self.gained.append((self.now, name))
+                    self.tokens.append((action.token, name))
+                self.until[name] = end
+            elif isinstance(action, Lose):
+                self.until.pop(name, None)
+            elif self.random.random() >= self.loss:
+                for _ in range(1 + (self.random.random() < self.loss)):
+                    when = self.now + self.random.randrange(*self.delay)
+                    self.at(when, lambda action=action: self.deliver(name, action))  # type: ignore[misc]
+
+    def deliver(self, sender: str, action: Send) -> None:
+        made = self.members.get(action.to)
+        if made is not None and frozenset((sender, action.to)) not in self.cuts:
+            self.carry(action.to, made.receive(sender, action.message, self.clock(action.to)))
+
+    def run(self, span: int) -> None:
+        end = self.now + span
+        while self.queue and self.queue[0][0] <= end:
+            self.now, _, call = heapq.heappop(self.queue)
+            call()
+        self.now = end
+
+    @property
+    def holder(self) -> str | None:
+        return next((name for name, at in self.until.items() if at > self.now), None)
+
+    def cut(self, *names: str) -> None:
+        self.cuts = {
+            frozenset((one, other)) for one in names for other in self.terms.members if other not in names
+        }
+
+
+@pytest.mark.parametrize("size", [1, 2, 3, 5, 7])
+def test_one_holds_and_goes_on_holding(size: int) -> None:
+    world = World(Terms(tuple("abcdefg"[:size])), seed=size)
+    world.run(10_000 * MS)
+    assert world.holder is not None and len(world.gained) == 1
+    assert world.gained[0][0] < 1_000 * MS  # after the silence of a start
+
+
+def test_the_address_moves_within_a_second_when_its_holder_dies() -> None:
+    for seed in range(60):
+        world = World(THREE, seed)
+        world.run(2_000 * MS)
+        dead, died = world.holder, world.now
+        assert dead is not None
+        world.kill(dead)
+        world.run(1_000 * MS)
+        assert world.holder not in (None, dead) and world.gained[-1][0] - died < 1_000 * MS
+
+
+def test_cut_off_from_the_rest_it_lets_go_before_another_holds() -> None:
+    for seed in range(40):
+        world = World(THREE, seed)
+        world.run(2_000 * MS)
+        first = world.holder
+        assert first is not None
+        world.cut(first)
+        world.run(1_500 * MS)
+        assert world.holder not in (None, first) and not world.members[first].holding
+        world.cuts = set()
+        second = world.holder
+        world.run(5_000 * MS)
+        assert world.holder == second  # who comes back takes nothing back
+
+
+def test_a_minority_holds_nothing_and_a_witness_never_does() -> None:
+    world = World(Terms(("a", "b", "c"), witnesses=frozenset("c")), seed=1)
+    world.run(2_000 * MS)
+    assert world.holder in ("a", "b")
+    world.cut("a")
+    world.run(1_500 * MS)
+    assert world.holder == "b"
+    world.cuts = {frozenset(pair) for pair in ("ab", "ac", "bc")}
+    world.run(5_000 * MS)
+    assert world.holder is None
+    assert "lost or cut off" in THREE.survives() and "1 may" in THREE.survives()
+
+
+def test_a_sick_holder_lets_go_at_once_and_does_not_stand_until_well() -> None:
+    world = World(THREE, seed=3)
+    world.run(2_000 * MS)
+    sick, at = world.holder, world.now
+    assert sick is not None
+    made = world.members[sick]
+    world.carry(sick, made.set_health(False, world.clock(sick)))
+    world.run(400 * MS)
+    assert world.holder not in (None, sick) and world.gained[-1][0] - at < 400 * MS
+    world.kill(world.holder or "")
+    world.run(2_000 * MS)
+    assert world.holder not in (None, sick)
+
+
+def test_a_planned_move_goes_to_its_heir_without_waiting_for_the_lease() -> None:
+    for seed in range(30):
+        world = World(THREE, seed)
+        world.run(2_000 * MS)
+        old = world.holder
+        assert old is not None
+        heir = next(name for name in THREE.members if name != old)
+        at = world.now
+        world.carry(old, world.members[old].move(heir, world.clock(old)))
+        world.run(300 * MS)
+        assert world.holder == heir and world.gained[-1][0] - at < 100 * MS
+        with pytest.raises(ValueError):
+            world.members[old].move(heir, world.clock(old))
+
+
+def test_a_voter_that_starts_anew_grants_nothing_until_what_it_forgot_has_run_out() -> None:
+    made = Election("a", THREE, 0)
+    claim = Message(Kind.CLAIM, 5, 1, THREE.span, "b")
+    (answer,) = made.receive("b", claim, THREE.bound - 1)
+    assert isinstance(answer, Send) and answer.message.kind is Kind.DENY and made.role is Role.SILENT
+    claim = Message(Kind.CLAIM, 5, 2, THREE.span, "b")
+    (answer,) = made.receive("b", claim, THREE.bound)
+    assert isinstance(answer, Send) and answer.message.kind is Kind.GRANT
+    # Nobody else while it is bound; the same term to nobody else ever; what was overtaken is not taken again.
+    for sender, term, serial in (("c", 9, 1), ("b", 5, 2)):
+        answers = made.receive(sender, Message(Kind.CLAIM, term, serial), THREE.bound + 1)
+        assert all(isinstance(one, Send) and one.message.kind is Kind.DENY for one in answers)
+    assert not made.receive("x", claim, THREE.bound + 2)
+
+
+def test_terms_that_would_be_unsafe_are_refused() -> None:
+    for wrong in (
+        {"members": ()},
+        {"members": ("a", "a")},
+        {"witnesses": frozenset("z")},
+        {"drift": 0.2},
+        {"renew": 600 * MS},
+    ):
+        with pytest.raises(ValueError):
+            Terms(**({"members": ("a", "b", "c")} | wrong))  # type: ignore[arg-type]
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.sampled_from(["kill", "start", "cut", "heal", "sick", "well", "move", "stop"]),
+        st.integers(0, 6),
+        st.integers(1, 900),
+    ),
+    max_size=25,
+)
+
+
+@fixed
+@given(st.sampled_from([2, 3, 5, 7]), st.integers(0, 1 << 30), st.sampled_from([0.0, 0.05, 0.3]), EVENTS)
+def test_never_two_holders_and_tokens_only_grow(
+    size: int, seed: int, loss: float, events: list[tuple[str, int, int]]
+) -> None:
+    """The checks are in the world: at each claim, in true time."""
+    world = World(Terms(tuple("abcdefg"[:size])), seed, loss, (1 * MS, 120 * MS))
+    for what, number, span in events:
+        name = world.terms.members[number % size]
+        made = world.members.get(name)
+        if what == "kill":
+            world.kill(name)
+        elif what == "start" and made is None:
+            world.start(name)
+        elif what == "cut":
+            world.cut(name)
+        elif what == "heal":
+            world.cuts = set()
+        elif what in ("sick", "well") and made is not None:
+            world.carry(name, made.set_health(what == "well", world.clock(name)))
+        elif what == "move" and world.holder is not None and world.holder != name:
+            holder = world.holder
+            if world.members[holder].holds(world.clock(holder)):
+                world.carry(holder, world.members[holder].move(name, world.clock(holder)))
+        elif what == "stop" and made is not None:
+            world.carry(name, made.stop(world.clock(name)))
+            world.kill(name)
+        world.run(span * MS)
