--- a/bench/address.py
+++ b/bench/address.py
@@ -9,11 +9,13 @@
 
 import argparse
 import json
+import random
+import time
 from collections.abc import Callable
 from typing import Any
 
 from lockspoke.address.election import Terms
-from tests.address.test_election import MS, World
+from tests.address.test_election import MS, World, test_never_two_holders_and_tokens_only_grow
 
 
 def kill(world: World, holder: str) -> None:
@@ -62,11 +64,30 @@
     }
 
 
+def sweep(seconds: float, seed: int = 5) -> dict[str, Any]:
+    """Random scenarios for so long, with the checks of the test of that name; raises where one fails."""
+    draw, count, end = random.Random(seed), 0, time.monotonic() + seconds
+    play = test_never_two_holders_and_tokens_only_grow.hypothesis.inner_test  # type: ignore[attr-defined]
+    words = ["kill", "start", "cut", "heal", "sick", "well", "move", "stop"]
+    while time.monotonic() < end:
+        events = [
+            (draw.choice(words), draw.randrange(7), draw.randrange(1, 900)) for _ in range(draw.randrange(25))
+        ]
+        play(draw.choice([2, 3, 5, 7]), draw.randrange(1 << 30), draw.choice([0.0, 0.05, 0.3]), events)
+        count += 1
+    return {"scenarios": count, "violations": 0}
+
+
 def main() -> None:
     """Measure and print."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--runs", type=int, default=500)
-    runs = parser.parse_args().runs
+    parser.add_argument("--sweep", type=float, metavar="SECONDS", help="random scenarios alone, for so long")
+    options = parser.parse_args()
+    if options.sweep:
+        print(json.dumps(sweep(options.sweep)))
+        return
+    runs = options.runs
     for size in (3, 5, 7):
         for loss in (0.0, 0.05):
             for event in (kill, cut, move):
