Inventory watch sees what is written before its notice begins; swap tested by request

The command waited for notices only after its first read, so a change between the two was lost until the next one. It looks at the files' signature too. The swap of two addresses is now followed request by request: with one name drained, 40 of 40 go to the other's new address.

--- a/lockspoke/cli/running.py
+++ b/lockspoke/cli/running.py
@@ -10,7 +10,7 @@
 import click
 
 from lockspoke.inventory import reports, store
-from lockspoke.inventory.files import folders
+from lockspoke.inventory.files import folders, signature
 from lockspoke.inventory.model import WorkerRecord
 from lockspoke.inventory.problems import Problem
 from lockspoke.inventory.reconcile import Reconciler
@@ -29,6 +29,8 @@
     texts,
 )
 
+LOOK = 500  # milliseconds between two looks at the files where no notice comes
+
 
 def _folder(edge: Path | None, keep: Path | None) -> Path:
     if keep is not None:
@@ -137,10 +139,19 @@
         print_decisions(decisions)
         click.echo(f"{time.strftime('%H:%M:%S')} {reports.summary(len(reconciler.known), snapshot.problems)}")
 
+    seen = signature(paths)
     once()
-    if rounds == 1:
+    count = 1
+    if count == rounds:
         return 0
-    for count, _ in enumerate(notice(*folders(paths), step=10, debounce=50, recursive=False), 2):
+    # The notice begins only when it is first waited for, so what was written until then is seen by a look.
+    for _ in notice(
+        *folders(paths), step=10, debounce=50, recursive=False, rust_timeout=LOOK, yield_on_timeout=True
+    ):
+        now = signature(paths)
+        if now == seen:
+            continue
+        seen, count = now, count + 1
         once()
         if count == rounds:
             break
--- a/tests/inventory/test_cli.py
+++ b/tests/inventory/test_cli.py
@@ -106,6 +106,28 @@
     assert json.loads(line) == {"workers": 2, "problems": [], "decisions": []}
 
 
+def test_watch_goes_on_with_each_change_until_its_rounds_are_over(good: Path) -> None:
+    command = [sys.executable, "-B", "-m", "lockspoke", "inventory", "watch", str(good), "--json"]
+    with subprocess.Popen(
+        [*command, "--rounds", "3"], cwd=ROOT, stdout=subprocess.PIPE, text=True, env=os.environ
+    ) as running:
+        assert running.stdout is not None
+        lines = [json.loads(running.stdout.readline())]
+        for text in (
+            GOOD + "w3,10.0.0.3,5000,gen-a\n",
+            GOOD + "w3,10.0.0.3,5000,gen-a\nw2,10.0.0.9,1,gen-a\n",
+        ):
+            beside = good.with_name(".new")
+            beside.write_text(text)
+            beside.replace(good)
+            lines.append(json.loads(running.stdout.readline()))
+        assert running.wait(60) == 0
+    assert [line["workers"] for line in lines] == [2, 3, 3]
+    assert [(one["act"], one["host"]) for one in lines[1]["decisions"]] == [("add", "w3")]
+    assert "w2" in {one["host"] for one in lines[2]["decisions"] if one["act"] == "hold"}
+    assert lines[2]["problems"] and lines[2]["problems"][0]["file"] == str(good)
+
+
 def test_config_check_names_file_line_key_and_the_nearest_known(tmp_path: Path) -> None:
     edge = tmp_path / "edge.toml"
     edge.write_text(
--- a/tests/inventory/test_source.py
+++ b/tests/inventory/test_source.py
@@ -239,10 +239,25 @@
             .replace("x", str(two.port)),
         )
         await until(lambda: decided(program, "change", "w0")() and decided(program, "change", "w1")())
-        before = len(one.seen), len(two.seen)
-        while len(one.seen) == before[0] or len(two.seen) == before[1]:
-            number += 1
-            assert (await client.ask(call_bytes(number)))[0] == 200
+        # Each name now means the other address: with w0 drained, every request goes where w1 is, which was
+        # w0's place before, and the other way round with w1 drained.
+        for drained, left in (("w0", one), ("w1", two)):
+            swapped = f"name,host,port,kind,state\nw0,127.0.0.1,{two.port},gen-a,up\n"
+            swapped += f"w1,127.0.0.1,{one.port},gen-b,up\n"
+            lines = [
+                line.replace(",up", ",draining") if line.startswith(drained) else line
+                for line in swapped.splitlines()
+            ]
+            place(path, "\n".join(lines) + "\n")
+            await until(decided(program, "drain", drained))
+            before = len(one.seen), len(two.seen)
+            for _ in range(40):
+                number += 1
+                assert (await client.ask(call_bytes(number)))[0] == 200
+            got = len(one.seen) - before[0], len(two.seen) - before[1]
+            assert got == ((40, 0) if left is one else (0, 40)), (drained, got)
+            place(path, swapped)
+            await until(decided(program, "change", drained, times=2))
 
 
 @with_folder
