Address: the disk of a holder really is full in its test

What it writes goes to a device that is always full (ENOSPC): it holds on, says so, keeps the record that it had, and writes again once there is room.

--- a/tests/address/cluster.py
+++ b/tests/address/cluster.py
@@ -82,7 +82,10 @@
             "members": {other: endpoint(book[other]) for other in self.names},
             "health": HEALTH,
         }
-        path.write_text(toml(settings | self.settings | more, "address"))
+        settings |= self.settings | more
+        if "record" in settings:
+            settings["record"] = str(self.folder / name)
+        path.write_text(toml(settings, "address"))
         return path
 
     async def start(self, name: str, **more: Any) -> Program:
--- a/tests/address/test_gateways.py
+++ b/tests/address/test_gateways.py
@@ -260,13 +260,26 @@
     asyncio.run(play())
 
 
-@with_cluster(record="/proc/none")
-async def test_a_holder_whose_disk_fails_holds_on_and_says_so(cluster: Cluster) -> None:
+@with_cluster(record="own folder")
+async def test_a_holder_whose_disk_is_full_holds_on_and_says_so(cluster: Cluster) -> None:
     await cluster.voting()
     holder = cluster.holder or ""
-    assert cluster.programs[holder].log("address_record_failing") is not None
-    assert "/proc/none" in cluster.status(holder)["record_failing"]
+    program, record = cluster.programs[holder], cluster.folder / holder / "address.json"
+    await until(record.exists)
+    before = record.read_text()
+    # What it writes beside the record goes to a device that is always full.
+    beside = record.with_name(f".address.json.{program.process.pid}")
+    beside.symlink_to("/dev/full")
+    other = next(name for name in cluster.names if name != holder)
+    await cluster.kill(other)
+    await cluster.start(other)  # its start brings a higher term, which the record has to have
+    await until(lambda: program.log("address_record_failing") is not None)
+    assert "No space left on device" in cluster.status(holder)["record_failing"]
     await cluster.answered()
+    assert cluster.holder == holder and record.read_text() == before
+    beside.unlink()
+    await until(lambda: program.log("address_record_kept") is not None)
+    assert record.read_text() != before and not cluster.status(holder)["record_failing"]
 
 
 def test_a_witness_votes_and_the_settings_are_checked(tmp_path: Path) -> None:
