--- a/tests/wire/test_clients.py
+++ b/tests/wire/test_clients.py
@@ -220,3 +220,26 @@
         await asyncio.wait_for(pair.task, 30)
 
     play(test)
+
+
+def test_a_request_on_a_connection_whose_address_has_moved_is_answered_and_not_run() -> None:
+    """The lease that it came by has ended, as after a pause of the process: once so, also for what waits."""
+
+    async def script(pair: Pair) -> None:
+        ours = True
+        pair.connection.guard = lambda: ours
+        pair.send(call_bytes(1))
+        await until(lambda: pair.world.core.totals["calls"] == 1)
+        call = pair.connection.call
+        assert call is not None
+        call.sink.refuse(0)
+        await pair.read(b"overloaded")
+        ours = False
+        pair.send(call_bytes(2))
+        answer = await pair.read(b"the address has moved")
+        assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After: 0.050" in answer
+        assert b"Connection: close" in answer
+        assert pair.world.core.totals["calls"] == 1
+        await until(pair.task.done)
+
+    play(script)
