--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -195,6 +195,18 @@
     assert calls[0][1].got == [b"a", "broken"]
 
 
+def test_only_calls_that_are_named_are_handed_over() -> None:
+    """Those that came by an address which has gone; others go on."""
+    world = World()
+    (gone, first), (_, second) = world.call(), world.call()
+    for delegation in world.started:
+        delegation.streamed(b"a")
+    world.core.hand_over([gone])
+    assert first.got == [b"a", "broken"] and second.got == [b"a"] and len(world.stopped) == 1
+    next(one for one in world.started if one not in world.stopped).ended(Outcome.OK)
+    assert second.got == [b"a", "end"] and not world.core.calls
+
+
 def test_without_workers_the_answer_is_an_overload_reply_at_once() -> None:
     world = World(workers=0)
     _, sink = world.call()
