Address: what stays open for too long after a move is handed over, shown on gateways

A stream that never ends, of a client that may resume: after the move it is given away at the stop time (3.7 s), well before its own deadline of 12 s.

--- a/tests/address/cluster.py
+++ b/tests/address/cluster.py
@@ -37,7 +37,7 @@
     """Some gateways, a worker, and the relay between their members."""
 
     def __init__(self, names: tuple[str, ...] = ("a", "b", "c"), **settings: Any) -> None:
-        self.names, self.settings = names, settings
+        self.names, self.gateway, self.settings = names, settings.pop("gateway", {}), settings
         self.service = free_port()
         self.relay = Relay(names)
         self.programs: dict[str, Program] = {}
@@ -90,7 +90,7 @@
 
     async def start(self, name: str, **more: Any) -> Program:
         """Start a member's gateway."""
-        program = Program(self.worker, options=("--edge", self.write(name, **more)))
+        program = Program(self.worker, options=("--edge", self.write(name, **more)), **self.gateway)
         self.programs[name] = program
         await program.__aenter__()
         await until(lambda: program.log("address_started") is not None)
--- a/tests/address/test_gateways.py
+++ b/tests/address/test_gateways.py
@@ -121,6 +121,28 @@
         assert await asyncio.wait_for(client.reader.read(), 10) == b""
 
 
+@with_cluster(gateway={"familyInfo": {"resume": True}})
+async def test_what_stays_open_for_too_long_after_a_move_is_handed_over(cluster: Cluster) -> None:
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(EVENTS[0]))
+        with contextlib.suppress(ConnectionError):
+            while True:  # it goes on and on
+                await asyncio.sleep(0.2)
+                writer.write(chunk(EVENTS[1]))
+                await writer.drain()
+
+    await cluster.voting()
+    cluster.worker.script = script
+    holder = cluster.holder or ""
+    heir = next(name for name in cluster.names if name != holder)
+    async with Client(cluster.service[1]) as client:
+        asked = asyncio.ensure_future(client.ask(call_bytes(1, deadline=12000, kind="bulk")))
+        await until(lambda: len(cluster.worker.seen) == 1)
+        ask(cluster.folder / f"{holder}.sock", {"do": "move", "to": heir})
+        status, _, body, whole = await asked
+        assert (status, whole) == (200, False) and body.startswith(EVENTS[0])
+
+
 @with_cluster()
 async def test_a_key_is_changed_under_way_and_a_split_list_or_key_is_told(cluster: Cluster) -> None:
     await cluster.voting()
