Cold workers: gateways take turns at each and spend the whole fleet's budget

Ruled out: breakers (none open), per-worker ceilings (room at 28 to 39 of 40 workers), discovery (every list came within 0.5 s of its change). Change: the time since a worker's start, which all gateways know alike, is cut in turns of fall_time; the turn's owner follows from the worker's number and the gateway's index, and may spend what is due to all. Any window meets two turns at most, which the margin of 0.5 covers. The pace is corrected for a gateway that has just started, and is at least half a usual request a turn. Cold workers in turn go first.

--- a/hillridge/interface.py
+++ b/hillridge/interface.py
@@ -89,6 +89,7 @@
     tenants: tuple[Tenant, ...] = ()
     zone: int = 0
     gateways: int = 1
+    index: int = 0  # this gateway's place among them
     ask_for_list: bool = False  # the list has to be asked for
     ask_every: int = 10_000_000_000
     cross_zone_price: float = 0.0
--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -17,9 +17,7 @@
 
 SECOND = 1_000_000_000
 FAILURE_THRESHOLD = 5  # the source's figure
-UNREACHED_WEIGHT = (
-    3  # failures that one failed or broken connection counts for: a gateway among many sees few
-)
+UNREACHED_WEIGHT = 3  # failures that a failed or broken connection counts for: a gateway among many sees few
 SUCCESS_THRESHOLD = 2  # the source's figure
 RECOVERY = 2 * SECOND  # the source's 60 s outlast most troubles; doubled by each failed trial
 LONGEST_RECOVERY = 16 * SECOND  # a replica that is back is found within this time
@@ -51,6 +49,10 @@
 FLOOD = 1.5  # times the mean of what tenants were sent against their shares: past it they wait behind others
 LONGEST_NAP = 60 * SECOND  # timers are cut to it: a gateway may not know longer ones
 COLD_MARGIN = 0.5  # of the allowed pressure on a cold replica: work is only estimated
+FIRST_TURNS = (
+    0.5  # requests a turn that a replica which has just started can surely take, whatever warm ones do
+)
+ASKED_MEMORY = 16  # requests over which the mean request is taken
 ASK_AGAIN = SECOND // 2  # first pause after a failed call for the list; doubles up to half of `ask_every`
 
 _LN2 = 0.693  # makes a sum that halves every RATE_MEMORY a rate
@@ -133,6 +135,8 @@
         self.ask_at: int | None = None  # when to ask for the list
         self.ask_pause = 0
         self.rate, self.rate_at = 0.0, 0  # work that warm replicas got done, per second and replica
+        self.asked = ANSWER_TOKENS  # what the mean request asks of a replica that keeps nothing, in tokens
+        self.began = 0  # when the first event came
         self.now = 0
         self.out: list[api.Action] = []
 
@@ -143,6 +147,7 @@
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         """Take what has come in at `now`; answer what is to be done at once."""
         self.now, self.out = now, []
+        self.began = self.began or now
         if self.armed <= now:
             self.armed = _NEVER
         for event in events:
@@ -225,6 +230,7 @@
         request = Request(event, self.now, self.settings.classes[event.request_class])
         self.requests[event.request] = self.waiting[event.request] = request
         heapq.heappush(self.due, (request.deadline, event.request))
+        self.asked += (event.prompt_tokens + ANSWER_TOKENS - self.asked) / ASKED_MEMORY
         self.recent.append(event.prefix or event.session)
 
     def _admit(self) -> None:
@@ -415,15 +421,32 @@
         return group == "all" or all(getattr(replica, group) == getattr(a.replica, group) for a in ran)
 
     def _budget_allows(self, replica: Replica, work: float) -> bool:
-        """Bounded by what warm ones get done for this gateway: so all gateways together keep the rule."""
-        sends = replica.cold_sends
-        while sends and self.now - sends[0][0] >= self.settings.fall_time:
+        """Bounded by what warm ones get done; gateways take turns, so that all together keep the rule.
+
+        Who has the turn spends what is due to all: split among many, no share is as large as one request.
+        """
+        settings, sends = self.settings, replica.cold_sends
+        turn = (self.now - replica.started_at) // settings.fall_time
+        if (turn + replica.number) % settings.gateways != settings.index % settings.gateways:
+            return False
+        if turn != replica.turn:
+            replica.turn, replica.luck = turn, self.random.random() if settings.gateways > 1 else 0.0
+        while sends and self.now - sends[0][0] >= settings.fall_time:
             sends.popleft()
         mean = sum(r.nominal for r in self.ready) / max(1, len(self.ready))
         size = min(1.0, replica.nominal / max(mean, 1e-9))
-        pace = self.settings.fall_multiple * COLD_MARGIN * size * self.rate
-        pace *= replica.share_of_warm(self.now, self.settings)
-        return sum(spent for _, spent in sends) + work <= pace * self.settings.fall_time / SECOND
+        surely = FIRST_TURNS * self.asked * SECOND / settings.fall_time / max(settings.cold_share, 0.01)
+        pace = max(settings.fall_multiple * COLD_MARGIN * self._pace(), surely) * size
+        due = pace * replica.share_of_warm(self.now, settings) * settings.fall_time / SECOND
+        # A part of a request that is due is a chance of one, drawn once a turn.
+        usual = min(work, 2.0 * self.asked)  # no luck makes room for a request many times as heavy
+        return sum(spent for _, spent in sends) + work <= due + replica.luck * usual
+
+    def _pace(self) -> float:
+        """What all gateways together get done on a mean warm replica, as this one has seen it, a second."""
+        fade = 0.5 ** ((self.now - self.rate_at) / RATE_MEMORY)
+        seen = 1.0 - 0.5 ** max(0.1, (self.now - self.began) / RATE_MEMORY)  # a young rate is still low
+        return float(self.rate * self.settings.gateways * fade / seen)
 
     def _note_done(self, work: float) -> None:
         """Follow what the mean warm replica gets done: a jam sends the same work over and over."""
@@ -448,6 +471,7 @@
         tried = [a.replica for a in request.attempts if a.outcome is not api.Outcome.FULL]
         busy = False
         closed: list[Replica] = []
+        mine: list[Replica] = []  # cold ones that it is this gateway's turn to send to
         asked, again = request.arrived.prompt_tokens + ANSWER_TOKENS, bool(request.attempts)
         for replica in self.ready:
             state = replica.breaker.look(self.now)
@@ -464,10 +488,15 @@
                     return replica, False
             elif self._has_room(replica):
                 closed.append(replica)
+                if self.now < replica.warm_at:
+                    mine.append(replica)
             else:
                 busy = True
         if not closed or not self._has_room(self.fleet):
             return None, busy or bool(closed)
+        if mine:  # Else they would be drawn too seldom for the turn: the others carry their work meanwhile.
+            self.last_winner = min(mine, key=lambda r: r.in_flight / r.share_of_warm(self.now, self.settings))
+            return self.last_winner, False
         sample = self._draw(closed)
         if self.last_winner is not None and self.last_winner in closed:
             sample.append(self.last_winner)
--- a/hillridge/wire.py
+++ b/hillridge/wire.py
@@ -184,6 +184,7 @@
         tenants=tuple(tenants),
         zone=int(_number(raw, "zone", 0)),
         gateways=int(_number(raw, "peersTotal", 1, low=1)),
+        index=int(_number(raw, "index", 0, low=0)),
         ask_for_list=ask,
         busy_field=_busy_field(raw),
         ask_every=int(_number(raw, "contract.askEvery", _NEEDED if ask else 10_000_000_000, low=1)),
--- a/tests/hillridge/test_rules.py
+++ b/tests/hillridge/test_rules.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -172,11 +174,13 @@
     assert sent == {1, 2}
 
 
-@pytest.mark.parametrize("gateways", [1, 3, 8])
+@pytest.mark.parametrize("gateways", [1, 3, 8, 40])
 def test_a_cold_replica_is_not_pushed_over_by_all_gateways_together(gateways: int) -> None:
     """Every gateway spends its own share; their sum keeps the rule, with nobody talking to anybody."""
     given_settings = settings(gateways=gateways)
-    worlds = [World(given_settings, replicas=range(1, 6), seed=n) for n in range(gateways)]
+    worlds = [
+        World(settings(gateways=gateways, index=n), replicas=range(1, 6), seed=n) for n in range(gateways)
+    ]
     rng, number, cold_sends, rate = random.Random(3), 0, [], 20.0
     started = worlds[0].now + 20 * SECOND
     for tick in range(300):
@@ -203,6 +207,29 @@
         assert len(window) <= allowed + 1
 
 
+def test_workers_replaced_at_forty_gateways_carry_their_part_before_they_are_warm() -> None:
+    """A fortieth of a cold worker's budget was never as large as one request: it stood idle till warm."""
+    fleet = settings(cold_share=0.13, warm_up=24 * SECOND, fall_time=1_500 * MS)
+    worlds = [World(replace(fleet, gateways=40, index=n), range(1, 17), seed=n) for n in range(40)]
+    started = worlds[0].now + 10 * SECOND
+    rng, cold_sends, number = random.Random(4), Counter[int](), 0
+    for tick in range(160):  # ten seconds before six in ten workers are replaced, and six after
+        for world in worlds:
+            world.pass_time(100 * MS)
+            if tick == 100:
+                world.list(api.ListKind.DELTA, ready(*range(101, 125), started_at=started))
+        for _ in range(9):
+            number += 1
+            world = rng.choice(worlds)
+            for replica in world.sent_to(world.arrive(number, prompt_tokens=3000.0)):
+                cold_sends[replica] += replica > 100
+            world.first_token(number)
+            world.end(number, api.Outcome.OK)
+    used = [replica for replica, count in cold_sends.items() if count]
+    assert len(used) >= 20, "most of those that came must have got work within six seconds"
+    assert max(cold_sends.values()) <= 12, "and none so much more than its turns that it would fall over"
+
+
 def test_a_jam_does_not_widen_the_warm_up_budget() -> None:
     """Sends are repeated in a jam; only work that got done may set what a cold replica gets."""
     world = World(settings(max_attempts=6), replicas=(1, 2, 3, 4))
