Discovery: gateways ask for the list in turn at the start, spread after failures

Counted over the fleet: 348 failed list calls, 2,040 failed connects to workers that were gone, 509 refusals. At fault: _plan_to_ask called at once on the cached list, and spread calls that had failed within half a second to five, whatever the number of gateways: all met again in a queue that serves about twelve a second. Change: the first call waits for the gateway's place in the line (its index times a twelfth of a second, and no later than half of ask_every); a failed call is spread over as long as all gateways need.

--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -53,6 +53,7 @@
     0.5  # requests a turn that a replica which has just started can surely take, whatever warm ones do
 )
 ASKED_MEMORY = 16  # requests over which the mean request is taken
+ASK_GAP = SECOND // 12  # between two gateways' calls for the list when all start at once
 ASK_AGAIN = SECOND // 2  # first pause after a failed call for the list; doubles up to half of `ask_every`
 
 _LN2 = 0.693  # makes a sum that halves every RATE_MEMORY a rate
@@ -133,11 +134,9 @@
         self.due: list[tuple[int, int]] = []  # (deadline, request)
         self.armed = _NEVER  # when the timer that was asked for fires
         self.ask_at: int | None = None  # when to ask for the list
-        self.ask_pause = 0
+        self.ask_pause = self.began = 0  # the time of the first event
         self.rate, self.rate_at = 0.0, 0  # work that warm replicas got done, per second and replica
         self.asked = ANSWER_TOKENS  # what the mean request asks of a replica that keeps nothing, in tokens
-        self.began = 0  # when the first event came
-        self.now = 0
         self.out: list[api.Action] = []
 
     def reconfigure(self, settings: api.Settings) -> None:
@@ -216,13 +215,16 @@
         self.homes.clear()
 
     def _plan_to_ask(self, kind: api.ListKind) -> None:
-        """When to ask for the list next: at once at the start, spaced after failures, else not at all."""
+        """When to ask for the list next: in turn at the start, spaced after failures, else not at all."""
+        gap = min(ASK_GAP, self.settings.ask_every // (2 * self.settings.gateways))
         if kind is api.ListKind.FAILED:
             self.ask_pause = min(max(2 * self.ask_pause, ASK_AGAIN), self.settings.ask_every // 4)
             # All gateways may have failed together; spread, so that they do not call together again.
-            self.ask_at = self.now + self.ask_pause + int(self.random.random() * self.ask_pause)
-        else:
-            self.ask_pause, self.ask_at = 0, self.now if kind is api.ListKind.CACHED else None
+            spread = max(self.ask_pause, gap * self.settings.gateways)
+            self.ask_at = self.now + self.ask_pause + int(self.random.random() * spread)
+        else:  # Many start at once in a release: each calls in its place in the line.
+            place = gap * (self.settings.index % self.settings.gateways)
+            self.ask_pause, self.ask_at = 0, self.now + place if kind is api.ListKind.CACHED else None
 
     # Life of a request
 
@@ -471,7 +473,6 @@
         tried = [a.replica for a in request.attempts if a.outcome is not api.Outcome.FULL]
         busy = False
         closed: list[Replica] = []
-        mine: list[Replica] = []  # cold ones that it is this gateway's turn to send to
         asked, again = request.arrived.prompt_tokens + ANSWER_TOKENS, bool(request.attempts)
         for replica in self.ready:
             state = replica.breaker.look(self.now)
@@ -488,12 +489,11 @@
                     return replica, False
             elif self._has_room(replica):
                 closed.append(replica)
-                if self.now < replica.warm_at:
-                    mine.append(replica)
             else:
                 busy = True
         if not closed or not self._has_room(self.fleet):
             return None, busy or bool(closed)
+        mine = [replica for replica in closed if self.now < replica.warm_at]
         if mine:  # Else they would be drawn too seldom for the turn: the others carry their work meanwhile.
             self.last_winner = min(mine, key=lambda r: r.in_flight / r.share_of_warm(self.now, self.settings))
             return self.last_winner, False
--- a/tests/hillridge/test_pick.py
+++ b/tests/hillridge/test_pick.py
@@ -269,6 +269,36 @@
     assert api.Watch(True) not in world.log
 
 
+def test_forty_gateways_that_start_at_once_ask_for_the_list_in_turn() -> None:
+    """Discovery works through calls in turn: of 28 at once it failed 19, which stayed blind for 15 s."""
+    asked = []
+    for index in range(40):
+        world = World(settings(ask_for_list=True, gateways=40, index=index), seed=index)
+        start = world.now
+        while api.Watch(True) not in world.log:
+            world.pass_time(20 * MS)
+        asked.append(world.now - start)
+    asked.sort()
+    assert asked[0] == 0 and asked[-1] <= 5 * SECOND, "none may count as not asking"
+    crowd = max(sum(when <= other < when + SECOND for other in asked) for when in asked)
+    assert crowd <= 13, "no more within a second than one service can answer"
+
+
+def test_gateways_whose_calls_failed_together_do_not_call_again_together() -> None:
+    again = []
+    for index in range(40):
+        world = World(settings(ask_for_list=True, gateways=40, index=index), seed=index)
+        world.pass_time(5 * SECOND)
+        world.log.clear()
+        start = world.now
+        world.list(api.ListKind.FAILED, ())
+        while api.Watch(True) not in world.log:
+            world.pass_time(20 * MS)
+        again.append(world.now - start)
+    assert max(sum(when <= other < when + SECOND for other in again) for when in again) <= 24
+    assert max(again) <= 5 * SECOND
+
+
 def test_an_unanswered_call_for_the_list_is_repeated() -> None:
     world = World(settings(ask_for_list=True))
     world.log.clear()
