--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -134,7 +134,7 @@
         self.due: list[tuple[int, int]] = []  # (deadline, request)
         self.armed = _NEVER  # when the timer that was asked for fires
         self.ask_at: int | None = None  # when to ask for the list
-        self.ask_pause = self.began = 0  # the time of the first event
+        self.ask_pause = self.began = self.warm_at = 0  # the first event came; all are warm from then on
         self.rate, self.rate_at = 0.0, 0  # work that warm replicas got done, per second and replica
         self.asked = ANSWER_TOKENS  # what the mean request asks of a replica that keeps nothing, in tokens
         self.out: list[api.Action] = []
@@ -213,6 +213,7 @@
                 del self.replicas[replica.number]
         self.ready = [r for r in self.replicas.values() if r.state is api.ReplicaState.READY]
         self.homes.clear()
+        self.warm_at = max((r.warm_at for r in self.ready), default=0)
 
     def _plan_to_ask(self, kind: api.ListKind) -> None:
         """When to ask for the list next: in turn at the start, spaced after failures, else not at all."""
@@ -440,9 +441,8 @@
         surely = FIRST_TURNS * self.asked * SECOND / settings.fall_time / max(settings.cold_share, 0.01)
         pace = max(settings.fall_multiple * COLD_MARGIN * self._pace(), surely) * size
         due = pace * replica.share_of_warm(self.now, settings) * settings.fall_time / SECOND
-        # A part of a request that is due is a chance of one, drawn once a turn.
-        usual = min(work, 2.0 * self.asked)  # no luck makes room for a request many times as heavy
-        return sum(spent for _, spent in sends) + work <= due + replica.luck * usual
+        # A part of a request that is due is a chance of one, drawn once a turn; never of a far heavier one.
+        return sum(spent for _, spent in sends) + work <= due + replica.luck * min(work, 2.0 * self.asked)
 
     def _pace(self) -> float:
         """What all gateways together get done on a mean warm replica, as this one has seen it, a second."""
@@ -493,7 +493,7 @@
                 busy = True
         if not closed or not self._has_room(self.fleet):
             return None, busy or bool(closed)
-        mine = [replica for replica in closed if self.now < replica.warm_at]
+        mine = [r for r in closed if self.now < r.warm_at] if self.now < self.warm_at else []
         if mine:  # Else they would be drawn too seldom for the turn: the others carry their work meanwhile.
             self.last_winner = min(mine, key=lambda r: r.in_flight / r.share_of_warm(self.now, self.settings))
             return self.last_winner, False
