--- a/lockspoke/wire/discovery.py
+++ b/lockspoke/wire/discovery.py
@@ -17,12 +17,18 @@
 
 
 def decode_list(text: bytes) -> RegistryUpdate:
-    """Read an answer of discovery."""
+    """Read an answer of discovery; a whole list that names a worker twice says nothing certain of it."""
     try:
         raw = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise ListError(f"not JSON: {error}") from None
-    return read_list(raw)
+    update = read_list(raw)
+    named: set[str] = set()
+    for at, entry in enumerate(update.entries if update.whole else ()):
+        if entry.uid in named:
+            raise ListError(f"targets[{at}].uid {entry.uid!r} is listed twice; name each worker once")
+        named.add(entry.uid)
+    return update
 
 
 def read_list(raw: Any) -> RegistryUpdate:
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -68,6 +68,9 @@
             try:
                 # The next watch has to come within 200 ms of the last answer: at once.
                 update = decode_list(await self._call(f"/discovery/hosts{wait}"))
+                if update.whole and not update.entries and core.registry.ready:
+                    # Guards against a discovery that has lost its own list: all workers at once are not gone.
+                    raise ListError(f"an empty list; the {core.registry.ready} workers in force stay")
             except (CallError, ListError) as error:
                 self._hang_up()
                 if not self._failing:
--- a/tests/hillridge/test_rules.py
+++ b/tests/hillridge/test_rules.py
@@ -230,6 +230,30 @@
     assert max(cold_sends.values()) <= 12, "and none so much more than its turns that it would fall over"
 
 
+def test_a_zone_that_returns_cold_to_gateways_without_a_pace_gets_a_little_from_all_together() -> None:
+    """Restarted gateways know no warm pace and only cold workers: they serve, and push none over."""
+    fleet = settings(cold_share=0.13, warm_up=24 * SECOND, fall_time=1_500 * MS, gateways=40)
+    worlds = [World(replace(fleet, index=n), (), seed=n) for n in range(40)]
+    started, rng, number = worlds[0].now, random.Random(6), 0
+    sends: dict[int, list[int]] = {}
+    for world in worlds:
+        world.list(api.ListKind.CACHED, ready(*range(1, 14), started_at=started))
+    for _ in range(60):
+        for world in worlds:
+            world.pass_time(100 * MS)
+        for _ in range(9):
+            number += 1
+            world = rng.choice(worlds)
+            for replica in world.sent_to(world.arrive(number, prompt_tokens=3000.0)):
+                sends.setdefault(replica, []).append(world.now)
+                world.first_token(number)
+                world.end(number, api.Outcome.OK)
+    assert len(sends) >= 10, "nearly all of them get work, though nobody has seen a warm one"
+    for times in sends.values():
+        most = max(sum(when <= other < when + fleet.fall_time for other in times) for when in times)
+        assert most <= 4, "in two turns that meet: a request each, and what the share that has warmed allows"
+
+
 def test_a_jam_does_not_widen_the_warm_up_budget() -> None:
     """Sends are repeated in a jam; only work that got done may set what a cold replica gets."""
     world = World(settings(max_attempts=6), replicas=(1, 2, 3, 4))
--- a/tests/lifecycle/test_program.py
+++ b/tests/lifecycle/test_program.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import subprocess
 import sys
@@ -25,6 +26,7 @@
     Program,
     call_bytes,
     chunk,
+    target,
     until,
 )
 
@@ -242,6 +244,21 @@
             assert len(new.seen) == 1 and len(old.seen) == 1
 
 
+@run
+async def test_lists_that_cannot_be_believed_leave_the_workers_in_force() -> None:
+    """An empty list, or one that names a worker twice, would have ended all service at once."""
+    async with FakeWorker() as worker, FakeDiscovery() as discovery:
+        twice = [target(worker), target(worker, "draining")]
+        for listed in ([], twice):
+            discovery.raw = json.dumps({"rev": 9, "all": True, "targets": listed}).encode()
+            async with Program(worker, discovery=discovery) as program, Client(program.port) as client:
+                await until(lambda now=program: now.log("discovery_failing") is not None)
+                assert (await client.ask(call_bytes(1)))[0] == 200
+                discovery.change(worker)
+                await until(lambda now=program: now.log("discovery_back") is not None)
+                assert (await client.ask(call_bytes(2)))[0] == 200
+
+
 @run
 async def test_sighup_moves_to_another_discovery_and_a_bad_file_changes_nothing() -> None:
     """The program used to end on it. The file's new word goes before the environment's old one."""
--- a/tests/wire/test_wire_fields.py
+++ b/tests/wire/test_wire_fields.py
@@ -122,6 +122,14 @@
     assert decode_load("a=1", ("a", "b")) == decode_load("a=x,b=1", ("a", "b")) == decode_load("", ()) == ()
 
 
+def test_a_whole_list_that_names_a_worker_twice_is_refused_with_the_place() -> None:
+    twice = [TARGET, TARGET | {"state": "draining"}]
+    with pytest.raises(ListError, match=r"targets\[1\]\.uid .* is listed twice"):
+        decode_list(json.dumps({"rev": 4, "all": True, "targets": twice}).encode())
+    changes = decode_list(json.dumps({"rev": 4, "all": False, "targets": twice}).encode())
+    assert [entry.state for entry in changes.entries] == ["ready", "draining"]  # changes come in their order
+
+
 def test_lists_are_read() -> None:
     update = decode_list(json.dumps({"rev": 4, "all": False, "targets": [TARGET]}).encode())
     assert (update.rev, update.whole) == (4, False)
