Ceiling of the whole gateway counts only calls that wait for a first token

Ruled out: failed connections (none in `outcome_`), opened breakers (no `decision` line), full workers, discovery (no `discovery_failing`).

Cause: `Balancer._learn` with `fleet`. The ceiling counted whole streams. A burst cut it to 0.7 of the few in flight at a gateway with one or two calls a second; each good first token raised it by 0.047, and each place came free only when a stream of seconds ended.

Change: against the whole gateway's ceiling count calls that wait for a first token, never fewer than two. The same ceiling lets more through by itself as answers come faster.

--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -37,7 +37,7 @@
 REPORT_LIVES = 4 * SECOND  # a report older than that says nothing any more
 MILD_PART = 0.5  # of the aim: later than that, a first token is a sign of a jam whatever a report says
 LATENESS_MEMORY = 8  # signs; most of these late: the trouble is shared, and the gateway as a whole holds back
-FIRST_CEILING = 2.0  # of a replica that has started or was open: as many as its trials
+FIRST_CEILING = 2.0  # of a replica that has started or was open: as many as its trials; and all's least
 CEILING_CUT = 0.7  # what is left of a ceiling after a late first token, a time-out or 'full'
 HOME_SHARE = 0.5  # of a mean replica's requests: as many as one beginning may bring to one of its homes
 MOST_HOMES = 512  # beginnings whose order of homes is kept
@@ -126,7 +126,7 @@
         self.requests: dict[int, Request] = {}
         self.waiting: dict[int, Request] = {}  # held until a replica has room
         self.taken, self.taken_at = [0.0] * len(settings.tenants), 0  # work sent of late, against its share
-        self.fleet = Replica(0, Breaker())  # all replicas as one: own requests in flight and their ceiling
+        self.fleet = Replica(0, Breaker())  # all as one: own requests with no first token, their ceiling
         self.lateness = 0.0  # share of late signs among the latest ones
         self.last_winner: Replica | None = None
         self.recent: deque[int] = deque(maxlen=RECENT)  # beginnings, or sessions, of the latest requests
@@ -168,8 +168,7 @@
             if request is not None and request.open and not any(a.streaming for a in request.attempts):
                 self._answer(number, request)  # a stream that has begun has no deadline
         if self.ask_at is not None and self.ask_at <= now:
-            self.out.append(api.Watch(True))
-            # An answer may never come: ask again before the list counts as not asked for.
+            self.out.append(api.Watch(True))  # an answer may never come: asked again before that counts
             self.ask_at = now + self.settings.ask_every // 2
         wake = min(self.due[0][0] if self.due else _NEVER, self.ask_at if self.ask_at is not None else _NEVER)
         if self.waiting:  # time alone can make room: a full replica's pause, a breaker's recovery
@@ -245,8 +244,7 @@
         trials = any(r.breaker.state is State.HALF_OPEN and r.breaker.trial is None for r in self.ready)
         if closed and not free and not trials:
             return  # guards the gateway's CPU: a jam in a large fleet is looked at for every event
-        stuck = 0
-        line = list(self.waiting)
+        stuck, line = 0, list(self.waiting)
         if len(line) > 1:  # mostly there is one: no line to order
             line.sort(key=lambda number: self._turn(self.waiting[number], free))
         for number in line:
@@ -308,6 +306,7 @@
             if attempt.streaming or not attempt.out:
                 return
             attempt.streaming = True
+            self.fleet.in_flight -= 1
             attempt.replica.turned.pop(request.arrived.request_class, None)
             for other in request.attempts:
                 if other.outcome is api.Outcome.REJECTED:  # this replica takes what that one found at fault
@@ -336,7 +335,7 @@
         breaker, before = attempt.replica.breaker, attempt.replica.breaker.state
         attempt.replica.in_flight -= 1
         attempt.replica.least = min(attempt.replica.least, attempt.replica.in_flight)
-        self.fleet.in_flight -= 1
+        self.fleet.in_flight -= not attempt.streaming
         attempt.replica.work -= attempt.work
         if event.outcome is api.Outcome.OK:
             breaker.succeeded(attempt)
@@ -361,7 +360,10 @@
             self.waiting[event.request] = request
 
     def _learn(self, attempt: Attempt, part: float) -> None:
-        """Move the ceilings: what is sent past the pace of a replica, or of all, makes all of it late."""
+        """Move the ceilings: what is sent past the pace of a replica, or of all, makes all of it late.
+
+        Of all, only what waits for a first token counts: a few whole streams held calls long after a jam.
+        """
         # 'Full' is one replica's alone: its quick refusals would outnumber all other signs.
         shared = attempt.outcome is not api.Outcome.FULL
         holder = attempt.replica
@@ -370,11 +372,11 @@
         self.lateness += ((part > LATE_PART) - self.lateness) / LATENESS_MEMORY * shared
         for holder in (attempt.replica, self.fleet)[: 1 + shared]:
             if part <= LATE_PART:
-                # One in as many as are in flight would leave replicas half idle long after a jam.
                 if holder.in_flight + 1 >= holder.ceiling:
                     holder.ceiling += RISE / min(self.settings.gateways, RISE_GATEWAYS)
             elif attempt.sent_at >= holder.cut_at and (holder is not self.fleet or self.lateness > 0.5):
-                holder.ceiling = max(1.0, CEILING_CUT * min(holder.ceiling, holder.in_flight))
+                holder.ceiling = CEILING_CUT * min(holder.ceiling, holder.in_flight)
+                holder.ceiling = max(FIRST_CEILING if holder is self.fleet else 1.0, holder.ceiling)
                 holder.cut_at = self.now
 
     def _is_full(self, replica: Replica, kind: int, elapsed: int) -> bool:
@@ -383,8 +385,7 @@
             replica.full_until = self.now + FULL_PAUSE
             return True
         times = replica.turned[kind] = replica.turned.get(kind, 0) + 1
-        pause = min(elapsed << min(times, 16), LONGEST_RECOVERY)
-        replica.class_until[kind] = self.now + pause
+        replica.class_until[kind] = self.now + min(elapsed << min(times, 16), LONGEST_RECOVERY)
         return False
 
     def _reported(self, replica: Replica, busy: float) -> None:
