What workers can do is learnt by kind of machine, from the reports of all of a kind

`Balancer._draw` and `_cost` go by the listed size, cores that say little of slots, and reports only moved ceilings, which at one call a worker and minute never bind. Ruled out: zones (11.0 to 11.6 in flight a worker in each), held calls (99th percentile 0.05 s after this change).

Change: a gateway pools reports by `model`, meeting each kind in seconds: answers against slots taken give a factor on the listed size (`_saw`, `Kind`); a worker that says it is full counts as one more own request, less as that ages, of the others their kind's mean is believed. Without reports, or where only probes carry them, late first tokens count.

--- a/hillridge/interface.py
+++ b/hillridge/interface.py
@@ -106,6 +106,7 @@
     cell: int = 0
     weight: float = 1.0
     started_at: int = 0  # 0: long ago
+    kind: int = 0  # of machine: those of one kind can do about the same
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from . import interface as api
-from .records import Attempt, Replica, Request
+from .records import Attempt, Kind, Replica, Request
 
 SECOND = 1_000_000_000
 FAILURE_THRESHOLD = 5  # the source's figure
@@ -34,6 +34,8 @@
 RISE_GATEWAYS = 16  # at most: with more the rise would take minutes
 SPARE = 0.65  # share of a replica's slots that may be taken, by its reports, before ceilings hold requests
 LEAST_BUSY = 0.1  # a report below that says no more than that there is much room
+NOISE = 0.02  # the least that one counts for where kinds are judged
+KIND_PRIOR = 1.5  # answers that a kind's listed size counts for beside those that have told how busy it was
 REPORT_LIVES = 4 * SECOND  # a report older than that says nothing any more
 MILD_PART = 0.5  # of the aim: later than that, a first token is a sign of a jam whatever a report says
 LATENESS_MEMORY = 8  # signs; most of these late: the trouble is shared, and the gateway as a whole holds back
@@ -41,13 +43,12 @@
 CEILING_CUT = 0.7  # what is left of a ceiling after a late first token, a time-out or 'full'
 HOME_SHARE = 0.5  # of a mean replica's requests: as many as one beginning may bring to one of its homes
 MOST_HOMES = 512  # beginnings whose order of homes is kept
-RECENT = 64  # requests by which a beginning's share of the traffic is judged
+RECENT = 64  # requests by which a beginning's share of the traffic is judged, and answers for kinds
 FULL_PAUSE = SECOND // 10  # before a full replica is asked again: at once, it would only refuse again
 COME_BACK = SECOND // 2  # the least that a refused client is told to wait: sooner, it meets the same jam
 REJECTIONS = 2  # replicas that find a request at fault, until it is: one alone may itself be at fault
 STUCK = 4  # waiting requests that may fail to find a place before the rest of the line is left for later
 FLOOD = 1.5  # times the mean of what tenants were sent against their shares: past it they wait behind others
-LONGEST_NAP = 60 * SECOND  # timers are cut to it: a gateway may not know longer ones
 COLD_MARGIN = 0.5  # of the allowed pressure on a cold replica: work is only estimated
 FIRST_TURNS = 0.5  # requests a turn that one just started can surely take, whatever warm ones do
 STRIDE = 0.618  # of the gateways: how far on the next turn's first one is
@@ -56,7 +57,6 @@
 ASK_GAP = SECOND // 12  # between two gateways' calls for the list when all start at once
 ASK_AGAIN = SECOND // 2  # first pause after a failed call for the list; doubles up to half of `ask_every`
 
-_LN2 = 0.693  # makes a sum that halves every RATE_MEMORY a rate
 _NEVER = 1 << 80  # later than any clock
 COUNTED = (api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
 UNREACHED = (api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
@@ -122,6 +122,7 @@
         self.random = random.Random(seed)
         self.replicas: dict[int, Replica] = {}
         self.ready: list[Replica] = []  # of them, those that the list calls ready
+        self.kinds: dict[int, Kind] = {}
         self.homes: dict[int, list[Replica]] = {}  # by beginning, see _homes
         self.requests: dict[int, Request] = {}
         self.waiting: dict[int, Request] = {}  # held until a replica has room
@@ -144,10 +145,8 @@
 
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         """Take what has come in at `now`; answer what is to be done at once."""
-        self.now, self.out = now, []
-        self.began = self.began or now
-        if self.armed <= now:
-            self.armed = _NEVER
+        self.now, self.out, self.began = now, [], self.began or now
+        self.armed = self.armed if self.armed > now else _NEVER
         for event in events:
             match event:
                 case api.Arrived():
@@ -171,15 +170,12 @@
             self.out.append(api.Watch(True))  # an answer may never come: asked again before that counts
             self.ask_at = now + self.settings.ask_every // 2
         wake = min(self.due[0][0] if self.due else _NEVER, self.ask_at if self.ask_at is not None else _NEVER)
-        if self.waiting:  # time alone can make room: a full replica's pause, a breaker's recovery
-            wake = min(wake, now + FULL_PAUSE)
+        wake = min(wake, now + FULL_PAUSE) if self.waiting else wake  # time alone ends a pause
         if wake < self.armed:
-            self.armed = min(wake, now + LONGEST_NAP)
-            self.out.append(api.SetTimer(self.armed - now, 0))
+            self.armed = wake
+            self.out.append(api.SetTimer(wake - now, 0))
         return self.out
 
-    # The list of replicas
-
     def _listed(self, update: api.ListUpdate) -> None:
         if self.settings.ask_for_list:
             self._plan_to_ask(update.kind)
@@ -201,16 +197,17 @@
                 replica.kept.clear()
                 replica.ceiling = FIRST_CEILING if self.now < replica.warm_at else math.inf
             replica.state, replica.told_at = entry.state, self.now
-            replica.zone, replica.cell, replica.size = entry.zone, entry.cell, max(entry.weight, 1e-9)
-            replica.nominal = max(replica.nominal, replica.size)
+            replica.zone, replica.cell, replica.listed = entry.zone, entry.cell, max(entry.weight, 1e-9)
+            replica.nominal = max(replica.nominal, replica.listed)
+            replica.kind = self.kinds.setdefault(entry.kind, Kind())
         # A gone replica is remembered while it could come back cold: its spent warm-up budget must hold.
-        memory = self.settings.warm_up + self.settings.fall_time
-        for replica in list(self.replicas.values()):
-            gone = replica.state is api.ReplicaState.GONE and replica.in_flight == 0
-            if gone and self.now - replica.told_at > memory:
+        since = self.now - self.settings.warm_up - self.settings.fall_time
+        for replica in [r for r in self.replicas.values() if r.state is api.ReplicaState.GONE]:
+            if replica.in_flight == 0 and replica.told_at < since:
                 del self.replicas[replica.number]
         self.ready = [r for r in self.replicas.values() if r.state is api.ReplicaState.READY]
         self.homes.clear()
+        self.kinds = {number: kind for number, kind in self.kinds.items() if kind.count(self.ready)}
         self.warm_at = max((r.warm_at for r in self.ready), default=0)
 
     def _plan_to_ask(self, kind: api.ListKind) -> None:
@@ -225,8 +222,6 @@
             place = gap * (self.settings.index % self.settings.gateways)
             self.ask_pause, self.ask_at = 0, self.now + place if kind is api.ListKind.CACHED else None
 
-    # Life of a request
-
     def _arrived(self, event: api.Arrived) -> None:
         request = Request(event, self.now, self.settings.classes[event.request_class])
         self.requests[event.request] = self.waiting[event.request] = request
@@ -254,8 +249,7 @@
     def _turn(self, request: Request, free: list[Replica]) -> tuple[bool, bool, float, int]:
         arrived = request.arrived
         # A client's later try has lost the aim of its first one: flagged, or with less time than the aim.
-        hopeless = arrived.client_retry or arrived.time_left < request.aim
-        late = hopeless or self.now > request.arrived_at + request.aim
+        late = arrived.client_retry or not self.now - request.arrived_at <= request.aim <= arrived.time_left
         # Guards a jam against itself: with one free place at a time prompts would be read anew everywhere.
         reading = min((self._work(request, replica) for replica in free), default=0.0)
         flood = bool(self.taken) and self.taken[arrived.tenant] > FLOOD * sum(self.taken) / len(self.taken)
@@ -313,6 +307,8 @@
                     other.replica.breaker.failed(self.now, self._may_open())
             read = 1.0 + attempt.unread / max(1.0, request.arrived.prompt_tokens)  # reading takes its time
             self._learn(attempt, event.elapsed / request.aim / read)
+            if self.settings.busy_field is None:  # no reports: a late one tells that it is full
+                self._saw(attempt.replica, 1.0 if event.elapsed / request.aim / read > LATE_PART else 0.5)
             attempt.replica.breaker.succeeded(attempt)
             attempt.replica.work -= attempt.work - ANSWER_TOKENS  # the prompt is read, the answer goes on
             attempt.work = ANSWER_TOKENS
@@ -324,10 +320,8 @@
         attempt = request.attempts[event.attempt]
         if not attempt.out:
             return
-        full = event.outcome is api.Outcome.FULL and self._is_full(
-            attempt.replica, request.arrived.request_class, event.elapsed
-        )
-        attempt.outcome = event.outcome
+        kind, attempt.outcome = request.arrived.request_class, event.outcome
+        full = event.outcome is api.Outcome.FULL and self._is_full(attempt.replica, kind, event.elapsed)
         if event.report and self.settings.busy_field is not None:
             self._reported(attempt.replica, event.report[self.settings.busy_field])
         if not attempt.streaming and (full or event.outcome is api.Outcome.TIMEOUT):
@@ -351,23 +345,19 @@
                 attempt.replica.ceiling = FIRST_CEILING
                 self.out.append(api.Log(f"breaker open: replica {event.replica}, last {event.outcome.name}"))
         breaker.released(attempt)
-        rejected = sum(other.outcome is api.Outcome.REJECTED for other in request.attempts)
         if event.closed or not request.open:
             self._close(event.request, request)
-        elif rejected >= REJECTIONS:
+        elif sum(other.outcome is api.Outcome.REJECTED for other in request.attempts) >= REJECTIONS:
             self._answer(event.request, request)
         elif not any(other.streaming and other.out for other in request.attempts):
             self.waiting[event.request] = request
 
     def _learn(self, attempt: Attempt, part: float) -> None:
-        """Move the ceilings: what is sent past the pace of a replica, or of all, makes all of it late.
-
-        Of all, only what waits for a first token counts: a few whole streams held calls long after a jam.
-        """
+        """Move the ceilings: what is sent past the pace of a replica, or of all, makes all of it late."""
         # 'Full' is one replica's alone: its quick refusals would outnumber all other signs.
-        shared = attempt.outcome is not api.Outcome.FULL
-        holder = attempt.replica
-        if shared and LATE_PART < part <= MILD_PART and holder.in_flight <= self._floor(holder):
+        shared, replica = attempt.outcome is not api.Outcome.FULL, attempt.replica
+        roomy = self.now - replica.busy_at < REPORT_LIVES and replica.in_flight <= replica.floor
+        if shared and LATE_PART < part <= MILD_PART and roomy:
             return  # it was reading: a prompt that nobody keeps, or a heavy one before it
         self.lateness += ((part > LATE_PART) - self.lateness) / LATENESS_MEMORY * shared
         for holder in (attempt.replica, self.fleet)[: 1 + shared]:
@@ -391,12 +381,25 @@
     def _reported(self, replica: Replica, busy: float) -> None:
         """What a report of the slots taken says of the own requests that there is room for."""
         replica.floor = max(1, replica.least) * SPARE / max(busy, LEAST_BUSY)
-        replica.floor_until, replica.least = self.now + REPORT_LIVES, replica.in_flight
+        replica.least = replica.in_flight
         if self.now - replica.cut_at > REPORT_LIVES:
             replica.ceiling = max(replica.ceiling, replica.floor)
-
-    def _floor(self, replica: Replica) -> float:
-        return replica.floor if self.now < replica.floor_until else 0.0
+        self._saw(replica, busy)
+
+    def _saw(self, replica: Replica, busy: float) -> None:
+        """What a kind's replicas can do: answers against slots taken. Of one alone too few answers come."""
+        replica.busy, replica.busy_at, kinds = busy, self.now, self.kinds.values()
+        replica.kind.seen += self.now >= replica.warm_at
+        replica.kind.busy += max(busy, NOISE) * (self.now >= replica.warm_at)
+        seen, listed = sum(kind.seen for kind in kinds), sum(kind.listed for kind in kinds)
+        mean = sum(kind.busy for kind in kinds) / max(seen, 1e-9)
+        for kind in kinds:
+            prior = KIND_PRIOR * kind.listed / listed
+            kind.mean = (kind.busy + prior * mean) / (kind.seen + prior)
+            pace = (kind.seen + prior) / kind.listed * listed / (seen + KIND_PRIOR)  # beside that of all
+            pace = 1.0 if self.settings.busy_field is None else pace  # lateness does not grow with it evenly
+            kind.factor = min(4.0, max(0.25, pace * mean / max(kind.mean, 1e-9)))
+            kind.seen, kind.busy = kind.seen * (1.0 - 1.0 / RECENT), kind.busy * (1.0 - 1.0 / RECENT)
 
     def _may_open(self) -> bool:
         """Guards against a shared slowdown that would open the whole fleet and refuse everything."""
@@ -409,10 +412,7 @@
         if not any(attempt.out for attempt in request.attempts):
             self.requests.pop(number, None)
 
-    # The rules
-
     def _may_run(self, request: Request, replica: Replica) -> bool:
-        """Whether sending there keeps the rules on repeats."""
         if not self.settings.may_duplicate and any(attempt.out for attempt in request.attempts):
             return False
         kind, ran = request.kind, [attempt for attempt in request.attempts if attempt.maybe_ran]
@@ -424,18 +424,14 @@
         return group == "all" or all(getattr(replica, group) == getattr(a.replica, group) for a in ran)
 
     def _budget_allows(self, replica: Replica, work: float) -> bool:
-        """Bounded by what warm ones get done; gateways take turns, so that all together keep the rule.
-
-        As many have each turn as requests are due to all, and spend one each: one alone sees too few.
-        """
+        """Bounded by what warm ones get done; as many gateways have a turn as requests are due to all."""
         settings, sends, gateways = self.settings, replica.cold_sends, self.settings.gateways
         turn = (self.now - replica.started_at) // settings.fall_time
         if turn != replica.turn:
             replica.turn, replica.luck = turn, self.random.random()
         while sends and self.now - sends[0][0] >= settings.fall_time:
             sends.popleft()
-        mean = sum(r.nominal for r in self.ready) / max(1, len(self.ready))
-        size = min(1.0, replica.nominal / max(mean, 1e-9))
+        size = min(1.0, replica.nominal * len(self.ready) / sum(r.nominal for r in self.ready))
         surely = FIRST_TURNS * self.asked * SECOND / settings.fall_time / max(settings.cold_share, 0.01)
         pace = max(settings.fall_multiple * COLD_MARGIN * self._pace(), surely) * size
         due = pace * replica.share_of_warm(self.now, settings) * settings.fall_time / SECOND
@@ -456,11 +452,9 @@
         """Follow what the mean warm replica gets done: a jam sends the same work over and over."""
         warm = sum(self.now >= replica.warm_at for replica in self.ready)
         fade = 0.5 ** ((self.now - self.rate_at) / RATE_MEMORY)
-        self.rate = self.rate * fade + work / max(1, warm) * _LN2 * SECOND / RATE_MEMORY
+        self.rate = self.rate * fade + work / max(1, warm) * math.log(2) * SECOND / RATE_MEMORY
         self.rate_at = self.now
 
-    # The pick
-
     @staticmethod
     def _work(request: Request, replica: Replica) -> float:
         """What the request asks of this replica, in tokens: what it has not kept, and the answer."""
@@ -503,8 +497,7 @@
             sample.append(self.last_winner)
         arrived = request.arrived
         if arrived.session or arrived.prefix:
-            # Two more candidates: who holds most of the prompt, and who should hold its beginning.
-            # A beginning that many ask for has many homes: one alone would get it from every gateway.
+            # Two more: who holds most of the prompt, and a home of its beginning, of many if many ask for it.
             key = arrived.prefix or arrived.session
             share = self.recent.count(key) / max(1, len(self.recent))
             count = 1 + int(share * len(closed) / HOME_SHARE)
@@ -526,8 +519,7 @@
         return order
 
     def _draw(self, replicas: list[Replica]) -> list[Replica]:
-        # By size: weights that sink with the load, late, move a part of the traffic, never all of it. So a
-        # crowded own zone sends a part away, as the others are drawn more often.
+        # By size: weights that sink with the load move a part of the traffic, never all of it.
         own, near = self.settings.zone, 1.0 + NEAR * self.settings.cross_zone_price
         weights = [r.size * near if r.zone == own else r.size for r in replicas]
         return self.random.choices(replicas, weights, k=SAMPLE)
@@ -535,11 +527,13 @@
     def _cost(self, replica: Replica, request: Request, mean_size: float) -> float:
         """What the request waits for there, and what it takes from the fleet, in tokens of a mean replica.
 
-        Own work in flight stands for that of all gateways. Reading and crossing cost the same on a small
-        replica: divided by its size, they left small ones idle beside large ones in a jam.
+        Own work in flight stands for that of all gateways; a full replica counts as one more own request.
         """
         capacity = replica.size / mean_size * replica.share_of_warm(self.now, self.settings)
-        cost = replica.work * self.settings.gateways / capacity + READING * self._work(request, replica)
+        fresh: float = 0.5 ** ((self.now - replica.busy_at) / RATE_MEMORY)  # of its own word
+        busy = replica.kind.mean + (replica.busy - replica.kind.mean) * fresh
+        load = replica.work / capacity + ANSWER_TOKENS * max(0.0, busy - SPARE) / (1.0 - SPARE)
+        cost = load * self.settings.gateways + READING * self._work(request, replica)
         if replica.zone != self.settings.zone:
             cost += self.settings.cross_zone_price * CROSSING_TOKENS
         return cost
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import OrderedDict, deque
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from . import interface as api
@@ -16,6 +17,22 @@
     from .policy import Breaker
 
 
+class Kind:
+    """One kind of machine, as answers from its replicas have shown it of late."""
+
+    def __init__(self) -> None:
+        self.listed = 0.0  # listed size of its ready replicas together
+        self.seen = 0.0  # answers that told how busy a replica was, and the sum of what they told; both fade
+        self.busy = 0.0
+        self.mean = 0.0  # share of slots taken at its replicas, as far as known
+        self.factor = 1.0  # what its replicas can do, as a part of what their listed size promises
+
+    def count(self, ready: Iterable[Replica]) -> bool:
+        """Count its ready replicas anew; whether there are any."""
+        self.listed = sum(replica.listed for replica in ready if replica.kind is self)
+        return self.listed > 0.0
+
+
 class Replica:
     """One replica as this balancer knows it."""
 
@@ -25,7 +42,10 @@
         self.state = api.ReplicaState.GONE
         self.zone = 0
         self.cell = 0
-        self.size = 1.0
+        self.kind = Kind()
+        self.listed = 1.0
+        self.busy = 0.0  # the share of its slots that was taken when it was last heard of
+        self.busy_at = 0
         self.nominal = 1e-9  # the greatest size listed: live weights sink with the load
         self.started_at = 0  # 0: long ago
         self.warm_at = 0  # surely warm from then on
@@ -38,15 +58,17 @@
         self.luck = 0.0
         self.ceiling = math.inf  # of own requests in flight; none until the first sign of a jam
         self.cut_at = 0  # when the ceiling was last lowered
-        self.floor, self.floor_until = (
-            0.0,
-            0,
-        )  # own requests that its last report has room for
+        self.floor = 0.0  # own requests that its last report has room for
         self.least = 0  # the fewest own requests in flight since that report: it may speak of any time since
         self.turned: dict[int, int] = {}  # by class, how often in a row it has turned requests away
         self.class_until: dict[int, int] = {}  # by class, not asked again before this time
         self.full_until = 0  # not asked again before this time
 
+    @property
+    def size(self) -> float:
+        """What it can do beside the others, in the unit of the list."""
+        return self.listed * self.kind.factor
+
     def share_of_warm(self, now: int, settings: api.Settings) -> float:
         """The capacity it surely has by now, as a share of its warm one."""
         if now >= self.warm_at:
--- a/hillridge/wire.py
+++ b/hillridge/wire.py
@@ -129,6 +129,8 @@
 
 def _busy_field(settings: dict[str, Any]) -> int | None:
     """The place of the share of slots taken in a load report, where outcomes carry reports that have it."""
+    if _member(settings, "loadInfo.via", "piggyback") != "piggyback":
+        return None  # told to probes alone, and this balancer makes none
     names = _member(settings, "loadInfo.fields", [])
     return names.index("busy") if isinstance(names, list) and "busy" in names else None
 
@@ -242,8 +244,8 @@
     _, kind, count = reader.take(_LIST)
     # Lists are the bulk of what a large fleet sends: read in one go.
     entries = [
-        ListEntry(replica, _known(STATES, state, "state"), zone, cell, weight, started)
-        for _, replica, zone, weight, started, cell, state in ENTRY.iter_unpack(
+        ListEntry(replica, _known(STATES, state, "state"), zone, cell, weight, started, kind)
+        for kind, replica, zone, weight, started, cell, state in ENTRY.iter_unpack(
             reader.take_bytes(ENTRY.size * count)
         )
     ]
--- a/lockspoke/memory/numbers.py
+++ b/lockspoke/memory/numbers.py
@@ -16,6 +16,11 @@
     return _hash(name, _U64) or 1 if name else 0
 
 
+def kind_number(name: str) -> int:
+    """The number of a kind of machine; 0 stands for one that the list does not tell."""
+    return _hash(name, _U32) if name else 0
+
+
 class Numbers:
     """Numbers workers and calls.
 
--- a/lockspoke/memory/registry.py
+++ b/lockspoke/memory/registry.py
@@ -7,7 +7,7 @@
 
 from hillridge.interface import ListEntry, ListKind, ListUpdate, ReplicaState
 
-from .numbers import Numbers
+from .numbers import Numbers, kind_number
 
 STATES = {"ready": ReplicaState.READY, "draining": ReplicaState.DRAINING, "gone": ReplicaState.GONE}
 MS = 1_000_000
@@ -24,6 +24,7 @@
     cell: int = 0
     weight: float = 1.0
     boot_ms: int = 0  # Unix time; 0: long ago
+    kind: str = ""  # of machine
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,4 +180,5 @@
             cell=entry.cell,
             weight=entry.weight,
             started_at=entry.boot_ms * MS,
+            kind=kind_number(entry.kind),
         )
--- a/lockspoke/wire/discovery.py
+++ b/lockspoke/wire/discovery.py
@@ -73,7 +73,7 @@
         raise ListError(f"targets[{at}].state is {target['state']!r}")
     # An entry that is gone may have lost its address; every other must have one.
     endpoint = None if state == "gone" else decode_endpoint(_text(target, "endpoint", at))
-    zone = target.get("az", "")
+    zone, kind = target.get("az", ""), target.get("model", "")
     return Entry(
         uid=_text(target, "uid", at),
         state=state,
@@ -82,4 +82,5 @@
         cell=int(_number(target, "pod_group", 0, at)),
         weight=float(_number(target, "capacity_hint", 1.0, at)),
         boot_ms=int(_number(target, "boot_ms", 0, at)),
+        kind=kind if isinstance(kind, str) else "",
     )
--- a/tests/hillridge/test_reports.py
+++ b/tests/hillridge/test_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 
 from hillridge import interface as api
 from hillridge.policy import FULL_PAUSE, REPORT_LIVES, State
@@ -120,3 +121,71 @@
     assert before == sorted(world.balancer.ready, key=lambda replica: replica.rank(77))
     world.list(api.ListKind.DELTA, (api.ListEntry(before[0].number, api.ReplicaState.DRAINING),))
     assert world.balancer._homes(77) == before[1:]
+
+
+def kinds_of_machine(**changes: Any) -> World:
+    """A gateway among many; replicas 1 to 20 are of one kind and listed as larger, the others of another."""
+    world = World(settings(gateways=100, **changes), replicas=())
+    large = tuple(api.ListEntry(number, weight=6.0, kind=1) for number in range(1, 21))
+    small = tuple(api.ListEntry(number, weight=4.0, kind=2) for number in range(21, 41))
+    world.list(api.ListKind.FULL, large + small)
+    return world
+
+
+def sent_to_the_large(world: World, numbers: range, busy: float, late: int = 0) -> float:
+    """The share of requests sent to the kind listed as larger, whose answers come with that report."""
+    sent = 0
+    for number in numbers:
+        world.arrive(number, time_left=60 * SECOND)
+        large = world.calls[number].attempts[0][0] <= 20
+        sent += large
+        world.pass_time(late if large else 10 * MS)
+        world.first_token(number)
+        reported = () if late else (busy if large else 0.3,)
+        world.end(number, api.Outcome.OK, report=reported)
+        world.pass_time(SECOND)
+    return sent / len(numbers)
+
+
+def test_what_reports_say_of_a_kind_of_machine_goes_before_its_listed_size() -> None:
+    """Machines listed by their cores had few slots: 22% of the first tokens came late beside idle ones."""
+    assert sent_to_the_large(kinds_of_machine(busy_field=0), range(1, 201), 0.3) > 0.5
+    world = kinds_of_machine(busy_field=0)
+    sent_to_the_large(world, range(1, 31), 1.0)
+    assert sent_to_the_large(world, range(31, 231), 1.0) < 0.25
+    assert all(world.balancer.replicas[number].kind.factor >= 0.25 for number in range(1, 41))
+
+
+def test_without_reports_late_first_tokens_tell_of_a_kind_of_machine() -> None:
+    world = kinds_of_machine()
+    sent_to_the_large(world, range(1, 31), 0.0, late=10 * MS)
+    assert sent_to_the_large(world, range(31, 131), 0.0, late=10 * MS) > 0.5
+    sent_to_the_large(world, range(131, 161), 0.0, late=500 * MS)
+    assert sent_to_the_large(world, range(161, 261), 0.0, late=500 * MS) < 0.4
+
+
+def test_a_replica_that_said_it_is_full_does_not_win_by_what_it_keeps_until_that_is_old() -> None:
+    """Homes of beginnings were sent more while their first tokens took four seconds."""
+    world = World(settings(gateways=100, busy_field=0), replicas=range(1, 21))
+    for number in range(101, 111):
+        world.arrive(number)
+        world.first_token(number)
+        world.end(number, api.Outcome.OK, report=(0.2,))
+    world.arrive(1, session=8, prompt_tokens=4000.0)
+    keeper = world.calls[1].attempts[0][0]
+    world.first_token(1)
+    world.end(1, api.Outcome.OK, report=(1.0,))
+    world.arrive(2, session=8, prompt_tokens=4200.0)
+    assert world.calls[2].attempts[0][0] != keeper
+    world.pass_time(60 * SECOND)
+    world.balancer.replicas[world.calls[2].attempts[0][0]].kept.clear()
+    world.arrive(3, session=8, prompt_tokens=4200.0)
+    assert world.calls[3].attempts[0][0] == keeper
+
+
+def test_kinds_that_left_the_list_are_forgotten() -> None:
+    world = kinds_of_machine(busy_field=0)
+    world.list(api.ListKind.FULL, (api.ListEntry(50, kind=3),))
+    assert list(world.balancer.kinds) == [3]
+    world.list(api.ListKind.FULL, ())
+    assert not world.balancer.kinds
--- a/tests/hillridge/test_wire.py
+++ b/tests/hillridge/test_wire.py
@@ -70,10 +70,10 @@
     event = only(
         "f203 0300 2900000000000000 03 02000000"
         "00 074a1203 00 0000803f 0000000000000000 0000 01"
-        "00 f211902c 01 0000c03f 009d966b01000000 0500 02"
+        "02 f211902c 01 0000c03f 009d966b01000000 0500 02"
     )
     one = api.ListEntry(0x03124A07, api.ReplicaState.READY, 0, 0, 1.0, 0)
-    two = api.ListEntry(0x2C9011F2, api.ReplicaState.DRAINING, 1, 5, 1.5, 6_100_000_000)
+    two = api.ListEntry(0x2C9011F2, api.ReplicaState.DRAINING, 1, 5, 1.5, 6_100_000_000, kind=2)
     assert event == api.ListUpdate(api.ListKind.CACHED, (one, two))
 
 
@@ -220,4 +220,9 @@
     assert kind.aim_per_token == 60_000.0  # 60,000 us for 1,000 tokens: so many ns for each
     assert settings.ask_for_list and settings.ask_every == 10_000
     assert settings.tenants == (api.Tenant(0.5),)
+    assert settings.busy_field is None
+    full["loadInfo"] = {"fields": ["rif", "busy"], "via": "pull"}
+    assert wire.decode_settings(json.dumps(full).encode()).busy_field is None, "probes alone are told"
+    full["loadInfo"]["via"] = "piggyback"
+    assert wire.decode_settings(json.dumps(full).encode()).busy_field == 1
     assert settings.gateways == 4 and settings.cross_zone_price == 0.02
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -154,6 +154,21 @@
     assert registry.ready == 3
 
 
+def test_workers_of_one_kind_of_machine_are_of_one_kind_to_every_gateway() -> None:
+    entries = [
+        Entry(f"k{n}", "ready", ("127.0.0.1", 8000 + n), "z", kind=kind) for n, kind in enumerate("aab")
+    ]
+    kinds = []
+    for _ in range(2):
+        registry = Registry(Numbers(), ("z",))
+        told, _ = registry.apply(
+            RegistryUpdate(1, True, (*entries, Entry("k9", "ready", ("127.0.0.1", 9000))))
+        )
+        kinds.append([entry.kind for entry in told.entries])
+    assert kinds[0] == kinds[1]
+    assert kinds[0][0] == kinds[0][1] != kinds[0][2] and kinds[0][3] == 0
+
+
 def test_a_younger_worker_at_an_address_ends_the_older_one() -> None:
     """Discovery tells late that a machine has vanished; its name would bring its heir twice the work."""
     world = World()
--- a/tests/wire/test_wire_fields.py
+++ b/tests/wire/test_wire_fields.py
@@ -142,6 +142,12 @@
     )
 
 
+def test_a_list_tells_the_kind_of_machine_where_it_is_a_name() -> None:
+    for given_kind, kind in (("m2", "m2"), (7, ""), (None, "")):
+        text = json.dumps({"rev": 4, "all": True, "targets": [TARGET | {"model": given_kind}]})
+        assert decode_list(text.encode()).entries[0].kind == kind
+
+
 @pytest.mark.parametrize(
     "change",
     [
