Tenants reach the decisions: Req-Owner names one of the settings' tenants

The platform's front passed no tenant on, so `_turn` counted every call as the first tenant's and a flood held up those within their shares. An owner that the settings do not name counts as the first, the simulator's word for none. A reload that leaves fewer tenants made `_turn` fail on what was held.

Tests: the tenant as the decisions get it, from a client's bytes (fails without the core's line); a reload with fewer tenants.

--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -252,7 +252,8 @@
         late = arrived.client_retry or not self.now - request.arrived_at <= request.aim <= arrived.time_left
         # Guards a jam against itself: with one free place at a time prompts would be read anew everywhere.
         reading = min((self._work(request, replica) for replica in free), default=0.0)
-        flood = bool(self.taken) and self.taken[arrived.tenant] > FLOOD * sum(self.taken) / len(self.taken)
+        owner = min(arrived.tenant, len(self.taken) - 1)  # a reload may have left fewer
+        flood = bool(self.taken) and self.taken[owner] > FLOOD * sum(self.taken) / len(self.taken)
         return late, flood, reading, -request.arrived_at
 
     def _send(self, number: int, request: Request) -> bool:
@@ -270,8 +271,8 @@
         if self.taken:
             fade = 0.5 ** ((self.now - self.taken_at) / RATE_MEMORY)
             self.taken, self.taken_at = [sum_ * fade for sum_ in self.taken], self.now
-            share = self.settings.tenants[request.arrived.tenant].share
-            self.taken[request.arrived.tenant] += self._work(request, replica) / max(share, 1e-9)
+            owner = min(request.arrived.tenant, len(self.taken) - 1)
+            self.taken[owner] += self._work(request, replica) / max(self.settings.tenants[owner].share, 1e-9)
         attempt = Attempt(replica, self.now, self._work(request, replica), replica.unread(request.arrived))
         replica.take(request.arrived, attempt.work)
         self.fleet.in_flight += 1
@@ -379,8 +380,7 @@
         return False
 
     def _reported(self, replica: Replica, busy: float) -> None:
-        """What a report of the slots taken says of the own requests that there is room for."""
-        replica.floor = max(1, replica.least) * SPARE / max(busy, LEAST_BUSY)
+        replica.floor = max(1, replica.least) * SPARE / max(busy, LEAST_BUSY)  # that there is room for
         replica.least = replica.in_flight
         if self.now - replica.cut_at > REPORT_LIVES:
             replica.ceiling = max(replica.ceiling, replica.floor)
--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -38,6 +38,7 @@
     known: RegistryUpdate | None
     settings: Settings
     classes: dict[str, int]  # by name, their place in the settings
+    tenants: dict[str, int]  # by name, their place in the settings
     deadlines: tuple[int, ...]  # by class
     zones: tuple[str, ...]
     load_names: tuple[str, ...]
@@ -74,6 +75,11 @@
     return tuple(value)
 
 
+def _names(settings: Any, path: str) -> list[str]:
+    """The names of the objects of a list, in its order."""
+    return [str(one.get("name", "")) if isinstance(one, dict) else "" for one in _dig(settings, path, [])]
+
+
 def _whole(raw: Any, path: str, default: int) -> int:
     value = _dig(raw, path, default)
     if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
@@ -112,9 +118,7 @@
 
 def _config(raw: dict[str, Any], environment: Mapping[str, str], before: Config | None) -> Config:
     settings = _dig(raw, "settings", {})
-    names = []
-    for profile in _dig(settings, "profiles", []):
-        names.append(str(profile.get("name", "")) if isinstance(profile, dict) else "")
+    names = _names(settings, "profiles")
     known = raw.get("known")
     named = str(raw.get("discovery") or "")
     if before is not None and named in ("", before.named):
@@ -135,6 +139,7 @@
         known=None if known is None else read_list(known),
         settings=decode_settings(json.dumps(settings).encode()),
         classes={name: index for index, name in enumerate(names)},
+        tenants={name: index for index, name in enumerate(_names(settings, "tenants"))},
         deadlines=tuple(
             _whole(profile, "deadline", 10_000 * MS) for profile in _dig(settings, "profiles", [])
         ),
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -129,6 +129,7 @@
             most - 1,
             config.held_bytes,
             lambda: self._ready and not self.out_of_service,
+            config.tenants,
         )
         for part in self.parts:
             part.attach(self.core, self.clients)
@@ -213,7 +214,7 @@
         self.config = config
         most = config.connections(self._others)
         self.workers.reconfigure(config.load_names, config.connect_timeout, config.keepalive, most)
-        self.clients.reconfigure(config.classes, most - 1, config.held_bytes)
+        self.clients.reconfigure(config.classes, most - 1, config.held_bytes, config.tenants)
         anew = self.core.reconfigure(config.settings, config.zones)
         self.watch.gateway_changed(config, anew)
         for commit in commits:
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -43,6 +43,7 @@
     target: str
     headers: Mapping[str, str]  # passed on to the worker
     body: bytes
+    tenant: int = 0  # its place in the settings; 0 also where there are none
     session: int = 0
     prefix: int = 0
     prompt_tokens: float = 0.0
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -95,6 +95,7 @@
                 request=call.number,
                 time_left=call.time_left,
                 request_class=call.request_class,
+                tenant=call.tenant,
                 session=call.session,
                 prefix=call.prefix,
                 prompt_tokens=call.prompt_tokens,
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -50,7 +51,13 @@
     """Client connections of the platform's port."""
 
     def __init__(
-        self, core: Core, classes: Mapping[str, int], most: int, most_bytes: int, ready: Callable[[], bool]
+        self,
+        core: Core,
+        classes: Mapping[str, int],
+        most: int,
+        most_bytes: int,
+        ready: Callable[[], bool],
+        tenants: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
         self.core = core
         self.ready = ready
@@ -58,11 +65,18 @@
         self.held_bytes = 0
         self.open_ids: set[str] = set()  # of calls that are owed an answer
         self.listener = Listener(lambda stream: ClientConnection(self, stream), most)
-        self.reconfigure(classes, most, most_bytes)
-
-    def reconfigure(self, classes: Mapping[str, int], most: int, most_bytes: int) -> None:
-        """Classes, and the bounds on connections and on the bytes of requests, from now on."""
+        self.reconfigure(classes, most, most_bytes, tenants)
+
+    def reconfigure(
+        self,
+        classes: Mapping[str, int],
+        most: int,
+        most_bytes: int,
+        tenants: Mapping[str, int] = MappingProxyType({}),
+    ) -> None:
+        """Classes and tenants, and the bounds on connections and on the bytes of requests, from now on."""
         self.classes = classes
+        self.tenants = tenants
         self.listener.most = most
         self.most_bytes = most_bytes
 
@@ -224,6 +238,8 @@
             target=head.target,
             headers=_passed_on(head.headers),
             body=request.body,
+            # The wire knows no owner outside the settings: one that they do not name counts as the first.
+            tenant=self.front.tenants.get(fields.tenant, 0),
             session=key_number(fields.key),
             prefix=key_number(fields.prefix),
             prompt_tokens=fields.prompt_len,
--- a/lockspoke/wire/fields.py
+++ b/lockspoke/wire/fields.py
@@ -24,6 +24,7 @@
     prompt_len: float = 0.0
     prefix_len: float = 0.0
     max_out: float = 0.0
+    tenant: str = ""
     retry: bool = False  # a client's marked retry; asking for the rest of a stream is not one
 
 
@@ -66,6 +67,7 @@
         prompt_len=_amount(extra.get("prompt_len", "0")),
         prefix_len=_amount(extra.get("prefix_len", "0")),
         max_out=_amount(extra.get("max_out", "0")),
+        tenant=_name(headers, "req-owner"),
         retry=headers.get("req-retry") == "1",
     )
 
--- a/tests/hillridge/test_pick.py
+++ b/tests/hillridge/test_pick.py
@@ -178,6 +178,17 @@
     raise AssertionError("nothing left the line")
 
 
+def test_fewer_tenants_after_a_reload_leave_no_held_call_without_an_answer() -> None:
+    world = World(settings(tenants=(api.Tenant(0.5), api.Tenant(0.5))), replicas=(1, 2))
+    jammed(world)
+    world.arrive(101, tenant=1)
+    world.arrive(102, tenant=1)
+    world.balancer.reconfigure(settings(tenants=(api.Tenant(1.0),)))
+    for number in range(1, 41):
+        world.end(number, api.Outcome.OK)
+    assert world.calls[101].attempts and world.calls[102].attempts
+
+
 def test_a_clients_later_try_waits_behind_first_tries() -> None:
     """Newest first would favour retries, whose first try has lost the aim already."""
     world = World(replicas=(1, 2))
--- a/tests/wire/test_clients.py
+++ b/tests/wire/test_clients.py
@@ -243,3 +243,21 @@
         await until(pair.task.done)
 
     play(script)
+
+
+def test_the_tenant_that_a_client_names_reaches_the_decisions() -> None:
+    """All calls counted as the first tenant's: one that flooded held up those within their share."""
+
+    async def test(pair: Pair) -> None:
+        pair.front.reconfigure({"docs": 0}, 8, 48_000_000, {"north": 0, "south": 1})
+        owners = ("south", "north", "nobody")
+        for at, owner in enumerate(owners):
+            pair.send(call_bytes(at + 1, **{"Req-Owner": owner}))
+            await until(lambda at=at: len(pair.world.started) > at)  # type: ignore[misc]
+            told = pair.world.core.balancer.requests[pair.world.started[at].call.number].arrived
+            assert told.tenant == {"south": 1}.get(owner, 0)
+            pair.world.started[at].streamed(b"data: x\n\n")
+            pair.world.started[at].ended(Outcome.OK)
+            await pair.read(b"0\r\n\r\n")
+
+    play(test)
--- a/tests/wire/test_wire_fields.py
+++ b/tests/wire/test_wire_fields.py
@@ -91,6 +91,7 @@
     assert not call.retry and decode_call(head(req_retry="1")).retry
     # Asking for the rest of a stream is not a retry of something that failed.
     assert not decode_call(head(req_retry="again")).retry
+    assert (call.tenant, decode_call(head(req_owner="north")).tenant) == ("", "north")
 
 
 @pytest.mark.parametrize(
@@ -103,6 +104,7 @@
         {"req_extra": "prompt_len=nan"},
         {"req_extra": "prompt_len=x"},
         {"req_id": "x" * 200},
+        {"req_owner": "x" * 200},
     ],
 )
 def test_bad_fields_are_a_400(changes: dict[str, str]) -> None:
