Silent watches are opened anew at once, and their waits spread over the gateways

A watch opened in the first half second with a wait of 8 s had fallen silent: what it misses counts as told 2 s past its wait, at which time `DiscoveryWatch._call` gave it up (GRACE 2.0), took it for a failed call and paused 0.5 to 5.5 s (`_plan_to_ask`).

Now a call that was taken and is silent 0.4 s past its wait is made anew at once, twice in a row at most; waits are 6 to 10 s by the gateway's index, since a change makes all gateways watch anew in one moment.

--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -24,7 +24,7 @@
 from lockspoke.wire.http1 import HttpError
 from lockspoke.wire.operator_api import Ask, OperatorCall
 from lockspoke.wire.operators import MOST, OperatorFront
-from lockspoke.wire.watch import DiscoveryWatch
+from lockspoke.wire.watch import DiscoveryWatch, hold_of
 from lockspoke.wire.workers import WorkerConnections
 
 from .bans import read_bans, write_bans
@@ -76,7 +76,7 @@
     def __init__(self, config: Config) -> None:
         if config.discovery is None:
             raise ConfigError("discovery is missing")
-        super().__init__(config.discovery)
+        super().__init__(config.discovery, hold_of(config.settings.index, config.settings.gateways))
         self._config = config
 
     def first(self) -> RegistryUpdate | None:
@@ -87,6 +87,7 @@
         """Discovery may have moved; a whole list is got by asking it anew."""
         moved = config.discovery != self._config.discovery
         self._config = config
+        self.hold_ms = hold_of(config.settings.index, config.settings.gateways)
         if config.discovery is not None and (moved or anew):
             self.move(config.discovery)
 
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -14,8 +14,10 @@
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
 
 HOLD_MS = 8000
-GRACE = 2.0  # seconds past the hold: discovery's word counts as told by then
+SPREAD_MS = 4000  # over which the holds of all gateways are spread: a change makes them all ask anew at once
+GRACE = 0.4  # seconds past the hold: 2 s past it what a silent watch has missed counts as told
 CONNECT = 1.0
+SILENT_TRIES = 2  # calls in a row that may fall silent before the service counts as failing
 
 log = structlog.get_logger()
 
@@ -24,15 +26,26 @@
     """A call for the list has failed."""
 
 
+class SilentError(CallError):
+    """A call that was taken, and past its time no answer has come."""
+
+
+def hold_of(index: int, gateways: int) -> int:
+    """How long this gateway lets a call wait, in milliseconds: each of many a little longer than another."""
+    return HOLD_MS - SPREAD_MS // 2 + SPREAD_MS * (index % gateways) // gateways
+
+
 class DiscoveryWatch:
     """Asks discovery for changes for as long as the calls succeed."""
 
-    def __init__(self, endpoint: tuple[str, int]) -> None:
+    def __init__(self, endpoint: tuple[str, int], hold_ms: int = HOLD_MS) -> None:
         self.endpoint = endpoint
+        self.hold_ms = hold_ms
         self.core: Core | None = None
         self._stream: IOStream | None = None
         self._task: asyncio.Task[None] | None = None
         self._failing = False
+        self._asked = False  # the present call is written
 
     def watch(self, enable: bool) -> None:
         """Begin to watch, or end that; a watch that runs goes on."""
@@ -62,9 +75,10 @@
     async def _run(self) -> None:
         core = self.core
         assert core is not None
+        silent = 0
         while True:
             rev = core.registry.rev
-            wait = f"?from={rev}&hold_ms={HOLD_MS}" if rev >= 0 else ""
+            wait = f"?from={rev}&hold_ms={self.hold_ms}" if rev >= 0 else ""
             try:
                 # The next watch has to come within 200 ms of the last answer: at once.
                 update = decode_list(await self._call(f"/discovery/hosts{wait}"))
@@ -73,11 +87,17 @@
                     raise ListError(f"an empty list; the {core.registry.ready} workers in force stay")
             except (CallError, ListError) as error:
                 self._hang_up()
+                silent += 1
+                if isinstance(error, SilentError) and silent <= SILENT_TRIES:
+                    # Such a watch is broken, and its changes count as told soon: no pause as after a failure.
+                    log.info("discovery_silent", reason=str(error))
+                    continue
                 if not self._failing:
                     log.warning("discovery_failing", reason=str(error))
                 self._failing, self._task = True, None
                 core.list_failed()
                 return
+            silent = 0
             if self._failing:
                 log.info("discovery_back", rev=update.rev)
             self._failing = False
@@ -88,7 +108,7 @@
     async def _call(self, target: str) -> bytes:
         reused = self._stream is not None and not self._stream.closed()
         try:
-            async with asyncio.timeout(HOLD_MS / 1000 + GRACE):
+            async with asyncio.timeout(self.hold_ms / 1000 + GRACE):
                 try:
                     return await self._exchange(target)
                 except StreamClosedError:
@@ -97,10 +117,15 @@
                     # Discovery closed the connection between two calls: that is no failure of a call.
                     self._hang_up()
                     return await self._exchange(target)
+        except TimeoutError as error:
+            if self._asked:
+                raise SilentError(f"no answer {GRACE} s past the {self.hold_ms} ms it may wait") from None
+            raise CallError(f"{type(error).__name__}: {error}") from None
         except (StreamClosedError, HttpError, OSError) as error:
             raise CallError(f"{type(error).__name__}: {error}") from None
 
     async def _exchange(self, target: str) -> bytes:
+        self._asked = False
         if self._stream is None or self._stream.closed():
             family = socket.AF_INET6 if ":" in self.endpoint[0] else socket.AF_INET
             self._stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
@@ -109,6 +134,7 @@
                 await self._stream.connect(self.endpoint)
         host = "{}:{}".format(*self.endpoint)
         await self._stream.write(encode_request("GET", target, {"Host": host}))
+        self._asked = True
         parser, body, head = ResponseParser(), bytearray(), None
         while True:
             for piece in parser.feed(await self._stream.read_bytes(65536, partial=True)):
