Idle connections to workers are given up sooner once workers turn new ones away

Need: other deployments with few connections a worker. Cause: idle connections.

Change: `wire/keeping.py`, pure. A new connection that is not taken, or whose call is turned away, halves the time for which idle ones are kept, to 0.25 s at the least; ten quiet seconds double it. Kept connections that answer full say nothing of tables.

--- /dev/null
+++ b/lockspoke/wire/keeping.py
@@ -0,0 +1,34 @@
+"""How long connections to workers are kept idle: pure, the time is handed in."""
+
+from __future__ import annotations
+
+SHORTEST_KEPT = 0.25  # seconds a connection may stand idle, however soon workers want it back
+BACK = 10.0  # seconds without a refusal after which connections are kept twice as long again
+
+
+class Keeping:
+    """Workers hold few connections, and those that stand idle at one gateway are missing at all others.
+
+    A new connection that is turned away or never comes up says that a worker's table may be full. Who holds
+    the places is not known. Each gateway that meets this holds some elsewhere, so each keeps its own half as
+    long: a handshake costs less than an answer.
+    """
+
+    def __init__(self, longest: float) -> None:
+        self.longest = longest  # seconds, as far as the settings allow
+        self._doublings = 0.0  # by how many halves the time was cut when it was cut last
+        self._cut_at = 0.0
+
+    def _missing(self, now: float) -> float:
+        return max(0.0, self._doublings - (now - self._cut_at) / BACK)
+
+    def limit(self, now: float) -> float:
+        """Seconds that a connection may stand idle; `now` in seconds of a steady clock."""
+        return max(min(SHORTEST_KEPT, self.longest), self.longest / float(2.0 ** self._missing(now)))
+
+    def turned_away(self, now: float) -> None:
+        """A worker has not taken a new connection, or no call over it."""
+        if self._doublings and now - self._cut_at < SHORTEST_KEPT:
+            return  # guards against one moment's refusals, all of one cause, each counting as a sign
+        cut = 1.0 if self.limit(now) > SHORTEST_KEPT else 0.0
+        self._doublings, self._cut_at = self._missing(now) + cut, now
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -16,13 +16,13 @@
 
 from .fields import decode_load
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
+from .keeping import SHORTEST_KEPT, Keeping
 from .sse import EventStream, StreamError
 
 MS = 1_000_000
 READ = 16 * 1024
 OPENING = 1.0  # seconds from an answer's first byte to its first event: both come with the first token
 SETTLE = 0.01  # seconds in which what a worker sends behind an answer shows, before the connection is reused
-SHORTEST_KEPT = 0.25  # seconds a connection may stand idle, however soon a worker closes them
 IDLE_SHARE = 0.8  # of the time after which a worker closes an idle connection: ours closes before
 
 log = structlog.get_logger()
@@ -85,7 +85,7 @@
         """New figures from now on; connections past a lower bound go as they fall idle."""
         self.load_names = load_names
         self.connect_timeout = connect_timeout / 1e9
-        self.idle_limit = IDLE_SHARE * keepalive / 1e9
+        self.keeping = Keeping(IDLE_SHARE * keepalive / 1e9)
         self.most = most
 
     # What the core asks for
@@ -112,8 +112,9 @@
     def sweep(self) -> None:
         """Close what has stood idle for long: the worker would, and a request written then is lost."""
         now = asyncio.get_running_loop().time()
+        kept = self.keeping.limit(now)
         for number, connections in list(self.idle.items()):
-            oldest = now - self.limits.get(number, self.idle_limit)
+            oldest = now - min(kept, self.limits.get(number, kept))
             while connections and connections[0].idle_since <= oldest:
                 self._close(connections.popleft())
             if not connections:
@@ -127,6 +128,8 @@
             connection = await self._acquire(delegation.worker)
             delegation.reused = connection.stood > 0.0
             outcome, kept, load, reusable = await self._exchange(connection, delegation)
+            if outcome is Outcome.FULL and not delegation.reused:
+                self.keeping.turned_away(asyncio.get_running_loop().time())
             if reusable:
                 self._release(connection)
                 connection = None
@@ -136,6 +139,8 @@
         except ConnectError:
             if connection is not None:
                 self._was_stale(connection)
+            else:
+                self.keeping.turned_away(asyncio.get_running_loop().time())
             delegation.ended(Outcome.CONNECT_FAILED)
         except NoRoomError:
             delegation.ended(Outcome.MOOT)
@@ -240,7 +245,7 @@
         if connection.stood <= 0.0 or worker.state == "gone":
             return
         self.forget(worker)
-        limit = self.limits.get(worker.number, self.idle_limit)
+        limit = self.limits.get(worker.number, self.keeping.longest)
         self.limits[worker.number] = max(SHORTEST_KEPT, min(limit, connection.stood / 2))
 
     def _make_room(self) -> None:
