--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from . import interface as api
-from .records import Attempt, Kind, Replica, Request
+from .records import Attempt, Kind, Replica, Request, tally
 
 SECOND = 1_000_000_000
 FAILURE_THRESHOLD = 5  # the source's figure
@@ -207,7 +207,7 @@
                 del self.replicas[replica.number]
         self.ready = [r for r in self.replicas.values() if r.state is api.ReplicaState.READY]
         self.homes.clear()
-        self.kinds = {number: kind for number, kind in self.kinds.items() if kind.count(self.ready)}
+        self.kinds = tally(self.kinds, self.ready)
         self.warm_at = max((r.warm_at for r in self.ready), default=0)
 
     def _plan_to_ask(self, kind: api.ListKind) -> None:
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -27,11 +27,6 @@
         self.mean = 0.0  # share of slots taken at its replicas, as far as known
         self.factor = 1.0  # what its replicas can do, as a part of what their listed size promises
 
-    def count(self, ready: Iterable[Replica]) -> bool:
-        """Count its ready replicas anew; whether there are any."""
-        self.listed = sum(replica.listed for replica in ready if replica.kind is self)
-        return self.listed > 0.0
-
 
 class Replica:
     """One replica as this balancer knows it."""
@@ -104,6 +99,15 @@
         return -math.log(((mixed >> 11) + 1) / (1 << 53)) / self.nominal
 
 
+def tally(kinds: dict[int, Kind], ready: Iterable[Replica]) -> dict[int, Kind]:
+    """The kinds that have ready replicas, with the listed sizes of these summed up anew."""
+    for kind in kinds.values():
+        kind.listed = 0.0
+    for replica in ready:
+        replica.kind.listed += replica.listed
+    return {number: kind for number, kind in kinds.items() if kind.listed}
+
+
 class Attempt:
     """One attempt of a request."""
 
