--- a/tests/lifecycle/test_program.py
+++ b/tests/lifecycle/test_program.py
@@ -311,18 +311,20 @@
         assert await program.process.wait() == 0
 
 
+async def streams_on(writer: asyncio.StreamWriter) -> None:
+    """A worker's stream that goes on until its gateway closes."""
+    writer.write(HEAD)
+    with contextlib.suppress(ConnectionError):
+        while not writer.is_closing():
+            writer.write(chunk(EVENTS[0]))
+            await asyncio.sleep(0.1)
+
+
 @run
 async def test_sigterm_hands_over_what_would_be_open_when_the_kill_comes() -> None:
     """Where clients ask for the rest: a stream without an end would be lost with the program."""
 
-    async def script(writer: asyncio.StreamWriter) -> None:
-        writer.write(HEAD)
-        with contextlib.suppress(ConnectionError):
-            while not writer.is_closing():
-                writer.write(chunk(EVENTS[0]))
-                await asyncio.sleep(0.1)
-
-    async with FakeWorker(script) as worker:
+    async with FakeWorker(streams_on) as worker:
         program = Program(worker, familyInfo={"resume": True})
         async with program, Client(program.port) as client:
             asked = asyncio.ensure_future(client.ask(call_bytes(1)))
@@ -337,13 +339,6 @@
 async def test_sigterm_hands_over_what_comes_after_all_else_is_answered() -> None:
     """What came once nothing was open any more was never given away, and the kill lost it."""
 
-    async def script(writer: asyncio.StreamWriter) -> None:
-        writer.write(HEAD)
-        with contextlib.suppress(ConnectionError):
-            while not writer.is_closing():
-                writer.write(chunk(EVENTS[0]))
-                await asyncio.sleep(0.1)
-
     async def refused(port: int) -> bool:
         try:
             _, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -352,7 +347,7 @@
         writer.close()
         return False
 
-    async with FakeWorker(script) as worker:
+    async with FakeWorker(streams_on) as worker:
         program = Program(worker, familyInfo={"resume": True})
         async with program, Client(program.port) as client:
             request = call_bytes(1)
