--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -1,4 +1,4 @@
-"""Calls and delegations: a request that is owed an answer, and the attempts made for it."""
+"""Calls, and their attempts: a request that is owed an answer, and each try at a worker."""
 
 from __future__ import annotations
 
@@ -54,28 +54,28 @@
     # Filled by the core:
     number: int = 0
     deadline: int = 0
-    delegations: list[Delegation] = field(default_factory=list)
-    owner: Delegation | None = None  # the one that streams
+    attempts: list[Attempt] = field(default_factory=list)
+    owner: Attempt | None = None  # the one that streams
     answered: bool = False
 
     @property
     def over(self) -> bool:
         """Nothing more will happen to it."""
-        return self.answered and all(one.outcome is not None for one in self.delegations)
+        return self.answered and all(one.outcome is not None for one in self.attempts)
 
 
 class Reports(Protocol):
-    """What a delegation tells the core."""
+    """What an attempt tells the core."""
 
-    def streamed(self, delegation: Delegation, data: bytes) -> asyncio.Future[None] | None:
+    def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
         """Bytes of the worker's stream."""
 
-    def ended(self, delegation: Delegation, outcome: Outcome, kept: int, report: tuple[float, ...]) -> None:
-        """The delegation is over."""
+    def ended(self, attempt: Attempt, outcome: Outcome, kept: int, report: tuple[float, ...]) -> None:
+        """The attempt is over."""
 
 
 @dataclass(eq=False, slots=True)
-class Delegation:
+class Attempt:
     """One attempt of a call at one worker."""
 
     call: Call
@@ -105,12 +105,12 @@
 
 
 class Workers(Protocol):
-    """The core's way to the workers: it starts delegations, and each tells how it went."""
+    """The core's way to the workers: it starts attempts, and each tells how it went."""
 
-    def start(self, delegation: Delegation) -> None:
-        """Begin; never raises, the delegation is told of every failure."""
+    def start(self, attempt: Attempt) -> None:
+        """Begin; never raises, the attempt is told of every failure."""
 
-    def stop(self, delegation: Delegation) -> None:
+    def stop(self, attempt: Attempt) -> None:
         """Give up: nothing more is reported."""
 
     def forget(self, worker: Worker) -> None:
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -16,7 +16,7 @@
 from hillridge import Balancer
 from hillridge import interface as api
 
-from .calls import Call, Delegation, Discovery, Workers
+from .calls import Attempt, Call, Discovery, Workers
 from .registry import Registry, RegistryUpdate
 
 MS = 1_000_000
@@ -106,7 +106,7 @@
         )
 
     def client_left(self, call: Call) -> None:
-        """The client is gone: nothing is owed any more, but its delegations run on."""
+        """The client is gone: nothing is owed any more, but its attempts run on."""
         if call.answered:
             return
         # A worker does not stop for a client that left; read to its end, the stream still tells the
@@ -162,92 +162,92 @@
                     self._answered(call, "failed")
                     call.sink.fail()
                 self._post(api.ClientLeft(call.number))
-            for delegation in call.delegations:
-                if delegation.outcome is None:
-                    self.workers.stop(delegation)
-                    self.ended(delegation, api.Outcome.CANCELLED)
+            for attempt in call.attempts:
+                if attempt.outcome is None:
+                    self.workers.stop(attempt)
+                    self.ended(attempt, api.Outcome.CANCELLED)
 
     def _repeatable(self, call: Call) -> bool:
         kind = self.balancer.settings.classes[call.request_class]
-        return kind.effect is api.Effect.SAFE or not call.delegations
+        return kind.effect is api.Effect.SAFE or not call.attempts
 
     def live_held(self) -> bool:
         """Whether a call that somebody waits for is held, since no worker has room for it."""
         return any(
             not call.background
             and not call.answered
-            and all(one.outcome is not None for one in call.delegations)
+            and all(one.outcome is not None for one in call.attempts)
             for call in self.calls.values()
         )
 
-    # What delegations say
+    # What attempts say
 
-    def streamed(self, delegation: Delegation, data: bytes) -> asyncio.Future[None] | None:
-        """A piece of a stream: the first makes the call this delegation's, all pass on as they come."""
-        call = delegation.call
-        if delegation.outcome is not None:
+    def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
+        """A piece of a stream: the first makes the call this attempt's, all pass on as they come."""
+        call = attempt.call
+        if attempt.outcome is not None:
             return None
-        delegation.heard_at = self.timers.now()
+        attempt.heard_at = self.timers.now()
         if call.owner is None:
-            call.owner = delegation
+            call.owner = attempt
             call.body = b""  # nothing is sent again for a call that streams, and streams are long
-            self._call_off(delegation)
-            self._first_token(delegation)
-            for other in call.delegations:
-                if other is not delegation and other.outcome is None:
+            self._call_off(attempt)
+            self._first_token(attempt)
+            for other in call.attempts:
+                if other is not attempt and other.outcome is None:
                     self.workers.stop(other)
                     self.ended(other, api.Outcome.CANCELLED)
-        if call.answered or call.owner is not delegation:
+        if call.answered or call.owner is not attempt:
             return None
         waits = call.sink.event(data)
         if waits is not None:
-            delegation.waits_for_client = True
-            waits.add_done_callback(lambda _: self._client_caught_up(delegation))
+            attempt.waits_for_client = True
+            waits.add_done_callback(lambda _: self._client_caught_up(attempt))
         return waits
 
-    def _client_caught_up(self, delegation: Delegation) -> None:
-        delegation.waits_for_client = False
-        delegation.heard_at = self.timers.now()
+    def _client_caught_up(self, attempt: Attempt) -> None:
+        attempt.waits_for_client = False
+        attempt.heard_at = self.timers.now()
 
-    def _first_token(self, delegation: Delegation) -> None:
-        elapsed = delegation.heard_at - delegation.sent_at
-        number = delegation.worker.number
-        self._post(api.FirstToken(delegation.call.number, delegation.index, number, elapsed))
+    def _first_token(self, attempt: Attempt) -> None:
+        elapsed = attempt.heard_at - attempt.sent_at
+        number = attempt.worker.number
+        self._post(api.FirstToken(attempt.call.number, attempt.index, number, elapsed))
 
     def ended(
         self,
-        delegation: Delegation,
+        attempt: Attempt,
         outcome: api.Outcome,
         kept: int = 0,
         report: tuple[float, ...] = (),
     ) -> None:
-        """A delegation is over; what it means for its call follows from whether it had begun to stream."""
-        if delegation.outcome is not None:
+        """An attempt is over; what it means for its call follows from whether it had begun to stream."""
+        if attempt.outcome is not None:
             return
-        delegation.outcome = outcome
-        self._call_off(delegation)
-        call = delegation.call
+        attempt.outcome = outcome
+        self._call_off(attempt)
+        call = attempt.call
         self.totals[f"outcome_{outcome.name.lower()}"] += 1
         if not call.answered:
             if outcome is api.Outcome.OK:
                 self._answered(call, "served")
                 call.sink.end()
-            elif call.owner is delegation:
+            elif call.owner is attempt:
                 self._answered(call, "broken")
                 call.sink.broken()
-        elapsed = self.timers.now() - delegation.sent_at
-        number = delegation.worker.number
+        elapsed = self.timers.now() - attempt.sent_at
+        number = attempt.worker.number
         self._post(
             api.AttemptEnded(
                 call.number,
-                delegation.index,
+                attempt.index,
                 number,
                 outcome,
                 elapsed,
                 call.answered,
                 kept,
                 report,
-                delegation.reused,
+                attempt.reused,
             )
         )
         self._drop_if_over(call)
@@ -308,26 +308,26 @@
             return
         now = self.timers.now()
         deadline = min(now + timeout, call.deadline) if timeout else call.deadline
-        delegation = Delegation(call, len(call.delegations), worker, now, deadline, self)
-        call.delegations.append(delegation)
+        attempt = Attempt(call, len(call.attempts), worker, now, deadline, self)
+        call.attempts.append(attempt)
         if call.answered or call.owner is not None or now >= deadline:
-            self.ended(delegation, api.Outcome.MOOT)
+            self.ended(attempt, api.Outcome.MOOT)
             return
-        self.totals["delegations"] += 1
-        delegation.timer = self.timers.later(deadline - now, lambda: self._timed_out(delegation))
-        self.workers.start(delegation)
+        self.totals["attempts"] += 1
+        attempt.timer = self.timers.later(deadline - now, lambda: self._timed_out(attempt))
+        self.workers.start(attempt)
 
     @staticmethod
-    def _call_off(delegation: Delegation) -> None:
-        if delegation.timer is not None:
-            delegation.timer.cancel()
-            delegation.timer = None
+    def _call_off(attempt: Attempt) -> None:
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+            attempt.timer = None
 
-    def _timed_out(self, delegation: Delegation) -> None:
+    def _timed_out(self, attempt: Attempt) -> None:
         # A stream that has begun has no deadline.
-        if delegation.outcome is None and delegation.call.owner is not delegation:
-            self.workers.stop(delegation)
-            self.ended(delegation, api.Outcome.TIMEOUT)
+        if attempt.outcome is None and attempt.call.owner is not attempt:
+            self.workers.stop(attempt)
+            self.ended(attempt, api.Outcome.TIMEOUT)
 
     # The end of a call
 
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -1,4 +1,4 @@
-"""The driver of the connections to workers: one delegation at a time on each, kept for the next."""
+"""The driver of the connections to workers: one attempt at a time on each, kept for the next."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from hillridge.interface import Outcome
-from lockspoke.memory.calls import Delegation
+from lockspoke.memory.calls import Attempt
 from lockspoke.memory.registry import Worker
 
 from .fields import decode_load
@@ -33,7 +33,7 @@
 
 
 class NoRoomError(Exception):
-    """Every descriptor set aside for workers is in use by a delegation."""
+    """Every descriptor set aside for workers is in use by an attempt."""
 
 
 class Connection:
@@ -44,7 +44,7 @@
         self.endpoint = worker.endpoint
         self.stream = stream
         self.idle_since = 0.0
-        self.stood = 0.0  # how long it had stood idle when it was taken for a delegation
+        self.stood = 0.0  # how long it had stood idle when it was taken for an attempt
         self.answering = False  # whether a byte of the present answer has come
         self.pending: asyncio.Future[bytes] = self._read()
 
@@ -63,7 +63,7 @@
 
 
 class WorkerConnections:
-    """Carries out delegations over TCP."""
+    """Carries out attempts over TCP."""
 
     def __init__(
         self,
@@ -79,7 +79,7 @@
         self.spoilt = 0  # answers that could not be read
         self.limits: dict[int, float] = {}  # by worker, seconds, where it closes sooner than the settings say
         self.idle: dict[int, deque[Connection]] = {}  # by worker, the one used last at the right
-        self.tasks: dict[Delegation, asyncio.Task[None]] = {}
+        self.tasks: dict[Attempt, asyncio.Task[None]] = {}
 
     def reconfigure(self, load_names: Sequence[str], connect_timeout: int, keepalive: int, most: int) -> None:
         """New figures from now on; connections past a lower bound go as they fall idle."""
@@ -90,15 +90,15 @@
 
     # What the core asks for
 
-    def start(self, delegation: Delegation) -> None:
-        """Begin a delegation."""
-        task = asyncio.ensure_future(self._run(delegation))
-        self.tasks[delegation] = task
-        task.add_done_callback(lambda _: self.tasks.pop(delegation, None))
+    def start(self, attempt: Attempt) -> None:
+        """Begin an attempt."""
+        task = asyncio.ensure_future(self._run(attempt))
+        self.tasks[attempt] = task
+        task.add_done_callback(lambda _: self.tasks.pop(attempt, None))
 
-    def stop(self, delegation: Delegation) -> None:
-        """Give a delegation up: its connection closes."""
-        task = self.tasks.pop(delegation, None)
+    def stop(self, attempt: Attempt) -> None:
+        """Give an attempt up: its connection closes."""
+        task = self.tasks.pop(attempt, None)
         if task is not None:
             task.cancel()
 
@@ -120,45 +120,43 @@
             if not connections:
                 del self.idle[number]
 
-    # One delegation
+    # One attempt
 
-    async def _run(self, delegation: Delegation) -> None:
+    async def _run(self, attempt: Attempt) -> None:
         connection = None
         try:
-            connection = await self._acquire(delegation.worker)
-            delegation.reused = connection.stood > 0.0
-            outcome, kept, load, reusable = await self._exchange(connection, delegation)
-            if outcome is Outcome.FULL and not delegation.reused:
+            connection = await self._acquire(attempt.worker)
+            attempt.reused = connection.stood > 0.0
+            outcome, kept, load, reusable = await self._exchange(connection, attempt)
+            if outcome is Outcome.FULL and not attempt.reused:
                 self.keeping.turned_away(asyncio.get_running_loop().time())
             if reusable:
                 self._release(connection)
                 connection = None
             elif outcome is Outcome.RESET and not connection.answering:
                 self._was_stale(connection)
-            delegation.ended(outcome, kept, decode_load(load, self.load_names))
+            attempt.ended(outcome, kept, decode_load(load, self.load_names))
         except ConnectError:
             if connection is not None:
                 self._was_stale(connection)
             else:
                 self.keeping.turned_away(asyncio.get_running_loop().time())
-            delegation.ended(Outcome.CONNECT_FAILED)
+            attempt.ended(Outcome.CONNECT_FAILED)
         except NoRoomError:
-            delegation.ended(Outcome.MOOT)
+            attempt.ended(Outcome.MOOT)
         except Exception:
-            log.exception("delegation_failed", worker=delegation.worker.uid)
-            delegation.ended(Outcome.RESET)
+            log.exception("attempt_failed", worker=attempt.worker.uid)
+            attempt.ended(Outcome.RESET)
         finally:
             if connection is not None:
                 self._close(connection)
 
-    async def _exchange(
-        self, connection: Connection, delegation: Delegation
-    ) -> tuple[Outcome, int, str, bool]:
+    async def _exchange(self, connection: Connection, attempt: Attempt) -> tuple[Outcome, int, str, bool]:
         """Send the request and read the answer: the outcome, kept tokens, load, and whether to keep it."""
-        call = delegation.call
+        call = attempt.call
         headers = dict(call.headers)
         headers["Req-Id"] = call.req_id
-        headers["Req-Deadline-Ms"] = str(max(1, (delegation.deadline - self.now()) // MS))
+        headers["Req-Deadline-Ms"] = str(max(1, (attempt.deadline - self.now()) // MS))
         try:
             await connection.stream.write(encode_request(call.method, call.target, headers, call.body))
         except StreamClosedError:
@@ -173,7 +171,7 @@
             async with asyncio.timeout(None) as opening:
                 while True:
                     received = await connection.read()
-                    if opening.when() is None and not delegation.streaming:
+                    if opening.when() is None and not attempt.streaming:
                         opening.reschedule(loop.time() + OPENING)
                     data, whole = b"", False
                     for piece in parser.feed(received):
@@ -188,7 +186,7 @@
                         data = events.feed(data) + (events.rest() if whole else b"")
                         if data:
                             opening.reschedule(None)
-                            waits = delegation.streamed(data)
+                            waits = attempt.streamed(data)
                             if waits is not None:
                                 await asyncio.wait([waits])
                     if whole and head is not None:
--- a/tests/memory/test_batch_store.py
+++ b/tests/memory/test_batch_store.py
@@ -140,9 +140,9 @@
     def out(self) -> list[Any]:
         return [d for d in self.world.started if d.outcome is None]
 
-    def serve(self, delegation: Any) -> None:
-        delegation.streamed(ANSWER)
-        delegation.ended(Outcome.OK)
+    def serve(self, attempt: Any) -> None:
+        attempt.streamed(ANSWER)
+        attempt.ended(Outcome.OK)
 
     async def close(self) -> None:
         await self.runner.stop()
@@ -329,8 +329,8 @@
         assert batch.counts == {End.SERVED: 2}
         while not batch.final:
             await until(lambda: bool(second.out()) or batch.final)
-            for delegation in second.out():
-                second.serve(delegation)
+            for attempt in second.out():
+                second.serve(attempt)
         assert second.results(batch) == {f"c{n}": "served" for n in range(6)}
         assert len(second.world.started) == 4
 
@@ -407,9 +407,9 @@
         batch = await bench.batch(*lines(50))
         for _ in range(6):
             await asyncio.sleep(0.06)
-            for delegation in bench.out():
-                delegation.outcome, delegation.call.answered = Outcome.FULL, True
-                delegation.call.sink.refuse(60 * SECOND)
+            for attempt in bench.out():
+                attempt.outcome, attempt.call.answered = Outcome.FULL, True
+                attempt.call.sink.refuse(60 * SECOND)
         assert bench.runner.waiting == 4 and len(bench.world.started) == 4
         await bench.store.set_status(batch, "cancelling")
         await until(lambda: batch.final)
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hillridge.interface import Outcome
-from lockspoke.memory.calls import Call, Delegation
+from lockspoke.memory.calls import Attempt, Call
 from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
 from lockspoke.memory.numbers import Numbers, key_number
 from lockspoke.memory.registry import Entry, Registry, RegistryUpdate, Worker
@@ -53,8 +53,8 @@
     def __init__(self, workers: int = 2, **changes: Any) -> None:
         self.time = 1_000 * SECOND
         self.due: list[tuple[int, Callable[[], None]]] = []
-        self.started: list[Delegation] = []
-        self.stopped: list[Delegation] = []
+        self.started: list[Attempt] = []
+        self.stopped: list[Attempt] = []
         self.forgotten: list[Worker] = []
         self.watches: list[bool] = []
         self.core = Core(settings(**changes), 7, Registry(Numbers(), ["z"]), self, self, self)
@@ -68,11 +68,11 @@
         self.due.append((self.time + delay, callback))
         return Timer(self.due, self.due[-1])
 
-    def start(self, delegation: Delegation) -> None:
-        self.started.append(delegation)
+    def start(self, attempt: Attempt) -> None:
+        self.started.append(attempt)
 
-    def stop(self, delegation: Delegation) -> None:
-        self.stopped.append(delegation)
+    def stop(self, attempt: Attempt) -> None:
+        self.stopped.append(attempt)
 
     def forget(self, worker: Worker) -> None:
         self.forgotten.append(worker)
@@ -98,11 +98,11 @@
 def test_a_stream_passes_on_as_it_comes_and_ends_once() -> None:
     world = World()
     call, sink = world.call()
-    (delegation,) = world.started
-    delegation.streamed(b"a")
-    delegation.streamed(b"b")
-    delegation.ended(Outcome.OK)
-    delegation.ended(Outcome.RESET)  # said twice, only the first counts
+    (attempt,) = world.started
+    attempt.streamed(b"a")
+    attempt.streamed(b"b")
+    attempt.ended(Outcome.OK)
+    attempt.ended(Outcome.RESET)  # said twice, only the first counts
     assert sink.got == [b"a", b"b", "end"]
     assert not world.core.calls and call.answered
     assert world.core.totals["served"] == 1
@@ -118,7 +118,7 @@
     assert len(world.started) == 1
 
 
-def test_a_failed_delegation_is_followed_by_another_elsewhere() -> None:
+def test_a_failed_attempt_is_followed_by_another_elsewhere() -> None:
     world = World()
     _, sink = world.call()
     world.started[0].ended(Outcome.CONNECT_FAILED)
@@ -130,7 +130,7 @@
     """Bodies of streams and timers of calls long over made the heap grow all day."""
     world = World()
     call, _ = world.call()
-    assert len(world.due) == 2  # the decisions' own and the delegation's
+    assert len(world.due) == 2  # the decisions' own and the attempt's
     world.started[0].streamed(b"a")
     assert call.body == b"" and len(world.due) == 1
     world.started[0].ended(Outcome.OK)
@@ -177,7 +177,7 @@
     assert [worker.uid for worker in world.forgotten] == ["w0"]
     for _ in range(8):
         world.call()
-    assert "w0" not in {delegation.worker.uid for delegation in world.started}
+    assert "w0" not in {attempt.worker.uid for attempt in world.started}
     both = tuple(Entry(f"w{i}", "ready", ("127.0.0.1", 5000 + i), "z") for i in range(2))
     world.core.list_changed(RegistryUpdate(3, True, (heir, *both)))  # it is still listed, and still gone
     assert {w.uid for w in world.core.registry.workers.values() if w.state == "ready"} == {"heir", "w1"}
@@ -214,8 +214,8 @@
     """Those that came by an address which has gone; others go on."""
     world = World()
     (gone, first), (_, second) = world.call(), world.call()
-    for delegation in world.started:
-        delegation.streamed(b"a")
+    for attempt in world.started:
+        attempt.streamed(b"a")
     world.core.hand_over([gone])
     assert first.got == [b"a", "broken"] and second.got == [b"a"] and len(world.stopped) == 1
     next(one for one in world.started if one not in world.stopped).ended(Outcome.OK)
@@ -228,16 +228,16 @@
     assert sink.got == ["refused"]
 
 
-def test_a_client_that_left_is_owed_nothing_but_its_delegation_runs_on() -> None:
+def test_a_client_that_left_is_owed_nothing_but_its_attempt_runs_on() -> None:
     world = World()
     call, sink = world.call()
     world.core.client_left(call)
     world.core.client_left(call)
-    delegation = world.started[0]
-    delegation.streamed(b"a")
+    attempt = world.started[0]
+    attempt.streamed(b"a")
     world.pass_time(2 * SECOND)
-    assert sink.got == [] and delegation.outcome is None and world.core.calls
-    delegation.ended(Outcome.OK)
+    assert sink.got == [] and attempt.outcome is None and world.core.calls
+    attempt.ended(Outcome.OK)
     assert sink.got == [] and not world.core.calls
     assert world.core.totals["left"] == 1
 
@@ -290,7 +290,7 @@
     assert [worker.uid for worker in world.forgotten] == ["w0"]
     for _ in range(6):
         world.call()
-    assert {delegation.worker.uid for delegation in world.started} == {"w1"}
+    assert {attempt.worker.uid for attempt in world.started} == {"w1"}
 
 
 def test_a_full_list_drops_what_it_does_not_name() -> None:
@@ -303,12 +303,12 @@
     assert {worker.uid for worker in world.forgotten} == {"w0", "w1"}  # w1 has moved
 
 
-def test_a_delegation_that_comes_too_late_is_moot() -> None:
+def test_a_attempt_that_comes_too_late_is_moot() -> None:
     world = World()
     call, _ = world.call()
     world.started[0].streamed(b"a")
     world.core._send(call.number, world.started[0].worker.number, 0)
-    assert call.delegations[1].outcome is Outcome.MOOT and len(world.started) == 1
+    assert call.attempts[1].outcome is Outcome.MOOT and len(world.started) == 1
 
 
 def test_the_first_stream_calls_the_others_off() -> None:
--- a/tests/wire/test_keeping.py
+++ b/tests/wire/test_keeping.py
@@ -7,7 +7,7 @@
 import time
 
 from hillridge.interface import Outcome
-from lockspoke.memory.calls import Call, Delegation
+from lockspoke.memory.calls import Attempt, Call
 from lockspoke.memory.registry import Worker
 from lockspoke.wire.clients import StreamedAnswer
 from lockspoke.wire.keeping import BACK, SHORTEST_KEPT, Keeping
@@ -44,16 +44,16 @@
 
 
 class Told:
-    """Takes the ends of delegations."""
+    """Takes the ends of attempts."""
 
     def __init__(self) -> None:
         self.ends: list[Outcome] = []
 
-    def streamed(self, delegation: Delegation, data: bytes) -> None:
-        del delegation, data
+    def streamed(self, attempt: Attempt, data: bytes) -> None:
+        del attempt, data
 
-    def ended(self, delegation: Delegation, outcome: Outcome, kept: int, report: tuple[float, ...]) -> None:
-        del delegation, kept, report
+    def ended(self, attempt: Attempt, outcome: Outcome, kept: int, report: tuple[float, ...]) -> None:
+        del attempt, kept, report
         self.ends.append(outcome)
 
 
@@ -70,7 +70,7 @@
 
 
 def test_only_a_new_connection_that_is_turned_away_cuts_the_time() -> None:
-    """Of 4,861 delegations 1,580 met a full table while 630 of 1,000 connections stood idle."""
+    """Of 4,861 attempts 1,580 met a full table while 630 of 1,000 connections stood idle."""
 
     async def whole() -> None:
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
@@ -82,7 +82,7 @@
             call = Call(StreamedAnswer.__new__(StreamedAnswer), 0, 0, "1", "POST", target, {}, b"")
             now = time.time_ns()
             count = len(told.ends)
-            connections.start(Delegation(call, 0, worker, now, now + 5_000 * MS, told))
+            connections.start(Attempt(call, 0, worker, now, now + 5_000 * MS, told))
             await until(lambda: len(told.ends) > count)
             return told.ends[-1]
 
