--- a/lockspoke/wire/keeping.py
+++ b/lockspoke/wire/keepalive.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-SHORTEST_KEPT = 0.25  # seconds a connection may stand idle, however soon workers want it back
+SHORTEST = 0.25  # seconds a connection may stand idle, however soon workers want it back
 BACK = 10.0  # seconds without a refusal after which connections are kept twice as long again
 
 
-class Keeping:
+class KeepAlive:
     """Workers hold few connections, and those that stand idle at one gateway are missing at all others.
 
     A new connection that is turned away or never comes up says that a worker's table may be full. Who holds
@@ -24,11 +24,11 @@
 
     def limit(self, now: float) -> float:
         """Seconds that a connection may stand idle; `now` in seconds of a steady clock."""
-        return max(min(SHORTEST_KEPT, self.longest), self.longest / float(2.0 ** self._missing(now)))
+        return max(min(SHORTEST, self.longest), self.longest / float(2.0 ** self._missing(now)))
 
     def turned_away(self, now: float) -> None:
         """A worker has not taken a new connection, or no call over it."""
-        if self._doublings and now - self._cut_at < SHORTEST_KEPT:
+        if self._doublings and now - self._cut_at < SHORTEST:
             return  # guards against one moment's refusals, all of one cause, each counting as a sign
-        cut = 1.0 if self.limit(now) > SHORTEST_KEPT else 0.0
+        cut = 1.0 if self.limit(now) > SHORTEST else 0.0
         self._doublings, self._cut_at = self._missing(now) + cut, now
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -16,7 +16,7 @@
 
 from .fields import decode_load
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
-from .keeping import SHORTEST_KEPT, Keeping
+from .keepalive import SHORTEST, KeepAlive
 from .sse import EventStream, StreamError
 
 MS = 1_000_000
@@ -85,7 +85,7 @@
         """New figures from now on; connections past a lower bound go as they fall idle."""
         self.load_names = load_names
         self.connect_timeout = connect_timeout / 1e9
-        self.keeping = Keeping(IDLE_SHARE * keepalive / 1e9)
+        self.keep_alive = KeepAlive(IDLE_SHARE * keepalive / 1e9)
         self.most = most
 
     # What the core asks for
@@ -112,7 +112,7 @@
     def sweep(self) -> None:
         """Close what has stood idle for long: the worker would, and a request written then is lost."""
         now = asyncio.get_running_loop().time()
-        kept = self.keeping.limit(now)
+        kept = self.keep_alive.limit(now)
         for number, connections in list(self.idle.items()):
             oldest = now - min(kept, self.limits.get(number, kept))
             while connections and connections[0].idle_since <= oldest:
@@ -129,7 +129,7 @@
             attempt.reused = connection.stood > 0.0
             outcome, kept, load, reusable = await self._exchange(connection, attempt)
             if outcome is Outcome.FULL and not attempt.reused:
-                self.keeping.turned_away(asyncio.get_running_loop().time())
+                self.keep_alive.turned_away(asyncio.get_running_loop().time())
             if reusable:
                 self._release(connection)
                 connection = None
@@ -140,7 +140,7 @@
             if connection is not None:
                 self._was_stale(connection)
             else:
-                self.keeping.turned_away(asyncio.get_running_loop().time())
+                self.keep_alive.turned_away(asyncio.get_running_loop().time())
             attempt.ended(Outcome.CONNECT_FAILED)
         except NoRoomError:
             attempt.ended(Outcome.MOOT)
@@ -243,8 +243,8 @@
         if connection.stood <= 0.0 or worker.state == "gone":
             return
         self.forget(worker)
-        limit = self.limits.get(worker.number, self.keeping.longest)
-        self.limits[worker.number] = max(SHORTEST_KEPT, min(limit, connection.stood / 2))
+        limit = self.limits.get(worker.number, self.keep_alive.longest)
+        self.limits[worker.number] = max(SHORTEST, min(limit, connection.stood / 2))
 
     def _make_room(self) -> None:
         """Close the connection idle for longest, whichever worker's; the descriptors are bounded."""
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -303,7 +303,7 @@
     assert {worker.uid for worker in world.forgotten} == {"w0", "w1"}  # w1 has moved
 
 
-def test_a_attempt_that_comes_too_late_is_moot() -> None:
+def test_an_attempt_that_comes_too_late_is_moot() -> None:
     world = World()
     call, _ = world.call()
     world.started[0].streamed(b"a")
--- a/tests/wire/test_keeping.py
+++ b/tests/wire/test_keepalive.py
@@ -10,7 +10,7 @@
 from lockspoke.memory.calls import Attempt, Call
 from lockspoke.memory.registry import Worker
 from lockspoke.wire.clients import StreamedAnswer
-from lockspoke.wire.keeping import BACK, SHORTEST_KEPT, Keeping
+from lockspoke.wire.keepalive import BACK, SHORTEST, KeepAlive
 from lockspoke.wire.workers import MS, SETTLE, WorkerConnections
 from tests.standins import until
 
@@ -18,29 +18,29 @@
 
 
 def test_refusals_of_new_connections_cut_the_time_and_quiet_brings_it_back() -> None:
-    keeping = Keeping(8.0)
-    assert keeping.limit(START) == 8.0
-    keeping.turned_away(START)
-    assert keeping.limit(START) == 4.0
-    keeping.turned_away(START + SHORTEST_KEPT / 2)
-    assert keeping.limit(START) == 4.0, "one moment's refusals are one sign"
-    keeping.turned_away(START + BACK / 2)
-    assert 2.0 < keeping.limit(START + BACK / 2) < 4.0
-    assert keeping.limit(START + 3 * BACK) == 8.0
+    keep_alive = KeepAlive(8.0)
+    assert keep_alive.limit(START) == 8.0
+    keep_alive.turned_away(START)
+    assert keep_alive.limit(START) == 4.0
+    keep_alive.turned_away(START + SHORTEST / 2)
+    assert keep_alive.limit(START) == 4.0, "one moment's refusals are one sign"
+    keep_alive.turned_away(START + BACK / 2)
+    assert 2.0 < keep_alive.limit(START + BACK / 2) < 4.0
+    assert keep_alive.limit(START + 3 * BACK) == 8.0
 
 
 def test_the_time_has_a_bound_below_from_which_it_comes_back_as_soon() -> None:
-    keeping = Keeping(8.0)
+    keep_alive = KeepAlive(8.0)
     for step in range(1000):
-        keeping.turned_away(START + step)
-    assert keeping.limit(START + 1000) < 2 * SHORTEST_KEPT
-    assert keeping.limit(START + 1000 + 6 * BACK) == 8.0
+        keep_alive.turned_away(START + step)
+    assert keep_alive.limit(START + 1000) < 2 * SHORTEST
+    assert keep_alive.limit(START + 1000 + 6 * BACK) == 8.0
 
 
 def test_settings_that_allow_less_than_the_bound_are_kept() -> None:
-    keeping = Keeping(0.1)
-    keeping.turned_away(START)
-    assert keeping.limit(START) == 0.1 and Keeping(0.0).limit(START) == 0.0
+    keep_alive = KeepAlive(0.1)
+    keep_alive.turned_away(START)
+    assert keep_alive.limit(START) == 0.1 and KeepAlive(0.0).limit(START) == 0.0
 
 
 class Told:
@@ -92,9 +92,9 @@
             idle = connections.idle[1][0]
             await until(lambda: loop.time() > idle.idle_since + SETTLE)
             assert await ask("/full", first) is Outcome.FULL
-            assert connections.keeping.limit(loop.time()) == 8.0, "a kept connection had its place"
+            assert connections.keep_alive.limit(loop.time()) == 8.0, "a kept connection had its place"
             assert await ask("/full", second) is Outcome.FULL
-            assert connections.keeping.limit(loop.time()) < 5.0
+            assert connections.keep_alive.limit(loop.time()) < 5.0
         finally:
             connections.close()
             server.close()
