Attempts have a stage: what changed while one connects is heard before its first byte

A client that had left, a worker told to drain or banned, or a repeat's window that ended while the connection came up changed nothing (`_exchange`, first write). - `Core._repeatable` took any attempt as one that may have run (`not call.attempts`), also after CONNECT_FAILED or FULL, and read the class from settings that a SIGHUP may have renumbered. - `_drain` handed nothing over where clients don't ask for the rest: calls that had not begun were found by the kill. - `hand_over` cut streams whose last bytes had come, but waited for a slow client or for the loop.

Change: `Attempt.stage` (connecting, sent, streaming). `Core.begins` is the one place that lets a first byte out; a no ends the attempt as MOOT and the connection goes to the pool. `Send.begin_within` bounds a guarded repeat by its window. `Call.kind` is the class as it was at arrival; `Call.refusable` follows the protocol's rule.

Tests in tests/memory/test_core.py fail without each check.

--- a/hillridge/interface.py
+++ b/hillridge/interface.py
@@ -183,6 +183,7 @@
     request: int
     replica: int
     timeout: int = 0
+    begin_within: int = 0  # its first byte has to go out within this time, or not at all; 0: no bound
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -280,13 +280,14 @@
             replica.breaker.trial, replica.breaker.trial_at = attempt, self.now
         if self.now < replica.warm_at:
             replica.cold_sends.append((self.now, request.arrived.prompt_tokens + ANSWER_TOKENS))
+        ran = request.ran if request.kind.effect is api.Effect.KEYED else ()  # repeats have their time
+        left = request.kind.window - self.now + ran[0].sent_at if ran else 0  # to connect in, too
         request.attempts.append(attempt)
-        self.out.append(api.Send(number, replica.number, request.deadline - self.now))
+        self.out.append(api.Send(number, replica.number, request.deadline - self.now, left))
         return True
 
     def _answer(self, number: int, request: Request) -> None:
-        ran = any(attempt.maybe_ran for attempt in request.attempts)  # then a retry might do harm
-        self.out.append(api.Fail(number) if ran else api.Refuse(number, self._come_back()))
+        self.out.append(api.Fail(number) if request.ran else api.Refuse(number, self._come_back()))
         self._close(number, request)
 
     def _come_back(self) -> int:
@@ -300,8 +301,7 @@
             attempt = request.attempts[event.attempt]
             if attempt.streaming or not attempt.out:
                 return
-            attempt.streaming = True
-            self.fleet.in_flight -= 1
+            attempt.streaming, self.fleet.in_flight = True, self.fleet.in_flight - 1
             attempt.replica.turned.pop(request.arrived.request_class, None)
             for other in request.attempts:
                 if other.outcome is api.Outcome.REJECTED:  # this replica takes what that one found at fault
@@ -415,7 +415,7 @@
     def _may_run(self, request: Request, replica: Replica) -> bool:
         if not self.settings.may_duplicate and any(attempt.out for attempt in request.attempts):
             return False
-        kind, ran = request.kind, [attempt for attempt in request.attempts if attempt.maybe_ran]
+        kind, ran = request.kind, request.ran
         if kind.effect is api.Effect.SAFE or not ran:
             return True
         if kind.effect is api.Effect.UNSAFE or self.now - ran[0].sent_at >= kind.window:
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -141,3 +141,8 @@
         self.aim = kind.aim + int(kind.aim_per_token * arrived.prompt_tokens)  # for the first token
         self.attempts: list[Attempt] = []
         self.open = True
+
+    @property
+    def ran(self) -> list[Attempt]:
+        """Its attempts that may have had an effect, those still out among them."""
+        return [attempt for attempt in self.attempts if attempt.maybe_ran]
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -38,6 +38,7 @@
 SWEEP = 0.25  # bad clients are owed an answer within 3 s
 TOTALS = 10.0  # seconds between two lines of totals
 HAND_OVER = 0.3  # seconds before the platform may kill: what is still open goes to other gateways
+AT_ONCE = 0.15  # seconds before it may: until then streams are let go on of which more has come already
 KEEP_ACCEPTING = 0.7  # seconds after SIGTERM: clients hear late that this gateway stops
 QUIET = 0.3  # seconds without a new connection, or of an idle one, before it is closed
 LONGEST_ACCEPTING = 2.0
@@ -266,20 +267,20 @@
         ending = [asyncio.ensure_future(part.drain()) for part in self.parts]
         listener, loop = self.clients.listener, asyncio.get_running_loop()
         began = loop.time()
-        while loop.time() - began < LONGEST_ACCEPTING:
+        kill = began + self.config.stop_time
+        while loop.time() < min(began + LONGEST_ACCEPTING, kill - HAND_OVER):
             await asyncio.sleep(0.05)
             listener.close_idle(QUIET)
             quiet = loop.time() - listener.last_accept >= QUIET
             if quiet and loop.time() - began >= KEEP_ACCEPTING:
                 break
         listener.stop()
-        end = began + self.config.stop_time - HAND_OVER
         while listener.connections or self.core.calls:
             listener.close_idle(QUIET)
-            if self.config.resumes and loop.time() >= end:
+            if (now := loop.time()) >= kill - HAND_OVER:
                 # What a kill finds open is lost; given away in time, clients ask for the rest elsewhere. Not
                 # sooner, though nothing may be open by then: a request can still come on what is connected.
-                self.core.hand_over()
+                self.core.hand_over(streams=self.config.resumes, at_once=now >= kill - AT_ONCE)
             await asyncio.sleep(0.02)
         for part in ending:
             await part
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -5,12 +5,15 @@
 import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any, Protocol
 
-from hillridge.interface import Outcome
+from hillridge.interface import Effect, Outcome, RequestClass, Scope
 
 from .registry import Worker
 
+NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)  # outcomes that prove it
+
 
 class Sink(Protocol):
     """Where the answer to a call goes. Exactly one of `end`, `broken`, `refuse` and `fail` is called."""
@@ -54,19 +57,39 @@
     # Filled by the core:
     number: int = 0
     deadline: int = 0
+    kind: RequestClass = field(default_factory=RequestClass)  # as the settings had it when the call came
     attempts: list[Attempt] = field(default_factory=list)
     owner: Attempt | None = None  # the one that streams
     answered: bool = False
+    leaving: bool = False  # it is being handed over: what comes of its stream waits for no client
 
     @property
     def over(self) -> bool:
         """Nothing more will happen to it."""
         return self.answered and all(one.outcome is not None for one in self.attempts)
 
+    @property
+    def refusable(self) -> bool:
+        """Whether it may be answered as turned away: a repeat of it does no harm."""
+        if self.kind.effect is Effect.SAFE or not any(one.maybe_ran for one in self.attempts):
+            return True
+        return self.kind.effect is Effect.KEYED and self.kind.scope is Scope.ALL
+
+
+class Stage(Enum):
+    """How far an attempt that is still out has come."""
+
+    CONNECTING = "connecting"  # no byte of it is written: it has surely not run, and may be told not to begin
+    SENT = "sent"  # its first byte is on its way: from here on it may have run
+    STREAMING = "streaming"  # its stream is the call's answer
+
 
 class Reports(Protocol):
     """What an attempt tells the core."""
 
+    def begins(self, attempt: Attempt) -> bool:
+        """Its connection is up: whether the first byte may go out now; if not, the attempt is over."""
+
     def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
         """Bytes of the worker's stream."""
 
@@ -84,17 +107,28 @@
     sent_at: int
     deadline: int
     reports: Reports
+    begin_by: int = 0  # no byte goes out from then on; 0: no such time
+    stage: Stage = Stage.CONNECTING
     outcome: Outcome | None = None  # None: still out
     reused: bool = False  # it goes over a connection kept from before
     heard_at: int = 0  # when the stream last brought something
     timer: Any = None  # of its deadline, while that runs
-    waits_for_client: bool = False  # reading is paused, since the client is slow
+    waits_for_client: asyncio.Future[None] | None = None  # reading is paused, since the client is slow
 
     @property
     def streaming(self) -> bool:
         """Whether its stream has begun to pass on: the call is its own."""
         return self.call.owner is self
 
+    @property
+    def maybe_ran(self) -> bool:
+        """Whether the worker may have run it: something of it was sent, and no outcome proves it did not."""
+        return self.stage is not Stage.CONNECTING and self.outcome not in NEVER_RAN
+
+    def begins(self) -> bool:
+        """Its connection is up: whether to send it. After a no nothing more is to be reported."""
+        return self.reports.begins(self)
+
     def streamed(self, data: bytes) -> asyncio.Future[None] | None:
         """Bytes of the worker's stream have come."""
         return self.reports.streamed(self, data)
@@ -113,6 +147,9 @@
     def stop(self, attempt: Attempt) -> None:
         """Give up: nothing more is reported."""
 
+    def unread(self, attempt: Attempt) -> bool:
+        """Whether bytes of its answer have come that are not passed on yet."""
+
     def forget(self, worker: Worker) -> None:
         """The worker has moved, restarted or left: its idle connections are of no more use."""
 
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -16,7 +16,7 @@
 from hillridge import Balancer
 from hillridge import interface as api
 
-from .calls import Attempt, Call, Discovery, Workers
+from .calls import Attempt, Call, Discovery, Stage, Workers
 from .registry import Registry, RegistryUpdate
 
 MS = 1_000_000
@@ -88,6 +88,7 @@
         """Take a call; from here on it is owed one final answer."""
         call.number = self.registry.numbers.call()
         call.deadline = self.timers.now() + call.time_left
+        call.kind = self.balancer.settings.classes[call.request_class]
         self.calls[call.number] = call
         self.totals["calls"] += 1
         self._post(
@@ -106,7 +107,7 @@
         )
 
     def client_left(self, call: Call) -> None:
-        """The client is gone: nothing is owed any more, but its attempts run on."""
+        """The client is gone: nothing is owed any more, but what has been sent for it runs on."""
         if call.answered:
             return
         # A worker does not stop for a client that left; read to its end, the stream still tells the
@@ -142,20 +143,29 @@
         if not self._asks:
             self.timers.later(SECOND, lambda: self.discovery.watch(True))
 
-    def hand_over(self, calls: Iterable[Call] | None = None) -> None:
-        """Give calls away to other gateways: those named, or all.
-
-        Clients ask there for the rest of a stream that ends early.
+    def hand_over(
+        self, calls: Iterable[Call] | None = None, streams: bool = True, at_once: bool = True
+    ) -> None:
+        """Give calls away to other gateways: those named, or all; streams too where clients ask for the rest.
 
-        A stream ends without its end, and its client goes on elsewhere; a call that has not begun gets an
-        overload reply if it may be repeated. What workers still run for them is of no use any more.
+        A stream ends without its end, and its client goes on elsewhere. If that is not pressing (`at_once`),
+        one of which more has come than was passed on is let go on meanwhile: its worker may have finished it.
+        A call that has not begun gets an overload reply if it may be repeated. What workers still run for
+        them is of no use any more.
         """
         for call in list(self.calls.values() if calls is None else calls):
+            if call.owner is not None and call.owner.outcome is None and not call.answered:
+                if not streams:
+                    continue
+                call.leaving = True
+                self._unthrottle(call.owner)
+                if not at_once and self.workers.unread(call.owner):
+                    continue
             if not call.answered:
                 if call.owner is not None:
                     self._answered(call, "handed_over")
                     call.sink.broken()
-                elif self._repeatable(call):
+                elif call.refusable:
                     self._answered(call, "refused")
                     call.sink.refuse(0)
                 else:
@@ -163,13 +173,13 @@
                     call.sink.fail()
                 self._post(api.ClientLeft(call.number))
             for attempt in call.attempts:
-                if attempt.outcome is None:
-                    self.workers.stop(attempt)
-                    self.ended(attempt, api.Outcome.CANCELLED)
+                self._give_up(attempt, api.Outcome.CANCELLED)
 
-    def _repeatable(self, call: Call) -> bool:
-        kind = self.balancer.settings.classes[call.request_class]
-        return kind.effect is api.Effect.SAFE or not call.attempts
+    def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        """End an attempt that is out; of one that was never sent nothing may have run, whatever ends it."""
+        if attempt.outcome is None:
+            self.workers.stop(attempt)
+            self.ended(attempt, outcome if attempt.maybe_ran else api.Outcome.MOOT)
 
     def live_held(self) -> bool:
         """Whether a call that somebody waits for is held, since no worker has room for it."""
@@ -182,6 +192,22 @@
 
     # What attempts say
 
+    def begins(self, attempt: Attempt) -> bool:
+        """Its connection is up: whether its first byte may go out now.
+
+        Connecting takes its time, and what was decided before may not hold any more: the client has left,
+        the worker was told to drain, the time in which a repeat does no harm has passed.
+        """
+        now, call, worker = self.timers.now(), attempt.call, attempt.worker
+        if attempt.outcome is not None:
+            return False
+        late = now >= attempt.deadline or (attempt.begin_by and now >= attempt.begin_by)
+        if call.answered or call.owner is not None or late or not self.registry.takes(worker):
+            self.ended(attempt, api.Outcome.MOOT)
+            return False
+        attempt.stage = Stage.SENT
+        return True
+
     def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
         """A piece of a stream: the first makes the call this attempt's, all pass on as they come."""
         call = attempt.call
@@ -189,25 +215,29 @@
             return None
         attempt.heard_at = self.timers.now()
         if call.owner is None:
-            call.owner = attempt
+            call.owner, attempt.stage = attempt, Stage.STREAMING
             call.body = b""  # nothing is sent again for a call that streams, and streams are long
             self._call_off(attempt)
             self._first_token(attempt)
             for other in call.attempts:
-                if other is not attempt and other.outcome is None:
-                    self.workers.stop(other)
-                    self.ended(other, api.Outcome.CANCELLED)
+                if other is not attempt:
+                    self._give_up(other, api.Outcome.CANCELLED)
         if call.answered or call.owner is not attempt:
             return None
-        waits = call.sink.event(data)
-        if waits is not None:
-            attempt.waits_for_client = True
-            waits.add_done_callback(lambda _: self._client_caught_up(attempt))
-        return waits
+        written = call.sink.event(data)
+        if written is None or call.leaving:
+            return None
+        attempt.waits_for_client = asyncio.get_running_loop().create_future()
+        written.add_done_callback(lambda _: self._unthrottle(attempt))
+        return attempt.waits_for_client
 
-    def _client_caught_up(self, attempt: Attempt) -> None:
-        attempt.waits_for_client = False
-        attempt.heard_at = self.timers.now()
+    def _unthrottle(self, attempt: Attempt) -> None:
+        """Its client has caught up, or is not waited for any more."""
+        waits, attempt.waits_for_client = attempt.waits_for_client, None
+        if waits is not None:
+            attempt.heard_at = self.timers.now()
+            if not waits.done():
+                waits.set_result(None)
 
     def _first_token(self, attempt: Attempt) -> None:
         elapsed = attempt.heard_at - attempt.sent_at
@@ -280,8 +310,8 @@
 
     def _carry_out(self, action: api.Action) -> None:
         match action:
-            case api.Send(number, replica, timeout):
-                self._send(number, replica, timeout)
+            case api.Send(number, replica, timeout, begin_within):
+                self._send(number, replica, timeout, begin_within)
             case api.Refuse(number, retry_after):
                 call = self.calls.get(number)
                 if call is not None and not call.answered:
@@ -301,7 +331,7 @@
             case api.Log(text):
                 log.warning("decision", text=text)
 
-    def _send(self, number: int, replica: int, timeout: int) -> None:
+    def _send(self, number: int, replica: int, timeout: int, begin_within: int = 0) -> None:
         call, worker = self.calls.get(number), self.registry.workers.get(replica)
         if call is None or worker is None:
             log.error("send_unknown", call=number, worker=replica)
@@ -309,6 +339,7 @@
         now = self.timers.now()
         deadline = min(now + timeout, call.deadline) if timeout else call.deadline
         attempt = Attempt(call, len(call.attempts), worker, now, deadline, self)
+        attempt.begin_by = now + begin_within if begin_within else 0
         call.attempts.append(attempt)
         if call.answered or call.owner is not None or now >= deadline:
             self.ended(attempt, api.Outcome.MOOT)
@@ -325,9 +356,8 @@
 
     def _timed_out(self, attempt: Attempt) -> None:
         # A stream that has begun has no deadline.
-        if attempt.outcome is None and attempt.call.owner is not attempt:
-            self.workers.stop(attempt)
-            self.ended(attempt, api.Outcome.TIMEOUT)
+        if attempt.call.owner is not attempt:
+            self._give_up(attempt, api.Outcome.TIMEOUT)
 
     # The end of a call
 
@@ -347,7 +377,7 @@
             if owner is not None and owner.outcome is None:
                 # A machine that vanished leaves its connections open and silent: its client would wait
                 # for ever, where it could ask for the rest.
-                if not owner.waits_for_client and now - owner.heard_at > SILENT:
+                if owner.waits_for_client is None and now - owner.heard_at > SILENT:
                     self.workers.stop(owner)
                     self.ended(owner, api.Outcome.RESET)
             elif not call.answered and owner is None and now > call.deadline + OVERDUE:
--- a/lockspoke/memory/registry.py
+++ b/lockspoke/memory/registry.py
@@ -120,6 +120,10 @@
         told = self._entry(number, self._listed[number])
         return ListUpdate(ListKind.DELTA, (told,)), [self.workers[number]] if banned else []
 
+    def takes(self, worker: Worker) -> bool:
+        """Whether something new may be sent to a worker: it is listed as ready and not taken out of use."""
+        return worker.state == "ready" and worker.uid not in self._banned
+
     @property
     def banned(self) -> frozenset[str]:
         """The uids of the workers that operators have taken out of use."""
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -14,6 +14,7 @@
 from lockspoke.memory.calls import Attempt
 from lockspoke.memory.registry import Worker
 
+from .closing import quiet
 from .fields import decode_load
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
 from .keepalive import SHORTEST, KeepAlive
@@ -80,6 +81,7 @@
         self.limits: dict[int, float] = {}  # by worker, seconds, where it closes sooner than the settings say
         self.idle: dict[int, deque[Connection]] = {}  # by worker, the one used last at the right
         self.tasks: dict[Attempt, asyncio.Task[None]] = {}
+        self.exchanges: dict[Attempt, Connection] = {}  # the connections on which answers are awaited
 
     def reconfigure(self, load_names: Sequence[str], connect_timeout: int, keepalive: int, most: int) -> None:
         """New figures from now on; connections past a lower bound go as they fall idle."""
@@ -102,6 +104,11 @@
         if task is not None:
             task.cancel()
 
+    def unread(self, attempt: Attempt) -> bool:
+        """Whether bytes of an answer, or its end, have come that its task has not taken yet."""
+        connection = self.exchanges.get(attempt)
+        return connection is not None and (connection.pending.done() or not quiet(connection.stream))
+
     def forget(self, worker: Worker) -> None:
         """Close the idle connections to a worker."""
         for connection in self.idle.pop(worker.number, ()):
@@ -127,6 +134,11 @@
         try:
             connection = await self._acquire(attempt.worker)
             attempt.reused = connection.stood > 0.0
+            if not attempt.begins():
+                self._release(connection)
+                connection = None
+                return
+            self.exchanges[attempt] = connection
             outcome, kept, load, reusable = await self._exchange(connection, attempt)
             if outcome is Outcome.FULL and not attempt.reused:
                 self.keep_alive.turned_away(asyncio.get_running_loop().time())
@@ -148,6 +160,7 @@
             log.exception("attempt_failed", worker=attempt.worker.uid)
             attempt.ended(Outcome.RESET)
         finally:
+            self.exchanges.pop(attempt, None)
             if connection is not None:
                 self._close(connection)
 
@@ -208,7 +221,7 @@
         settled = asyncio.get_running_loop().time() - SETTLE
         for connection in [one for one in reversed(connections) if one.idle_since <= settled]:
             connections.remove(connection)
-            if not connection.stream.closed() and not connection.pending.done():
+            if not connection.pending.done() and quiet(connection.stream):
                 connection.stood = asyncio.get_running_loop().time() - connection.idle_since
                 connection.answering = False
                 return connection
@@ -256,7 +269,7 @@
     def _release(self, connection: Connection) -> None:
         worker = connection.worker
         moved = worker.state != "ready" or worker.endpoint != connection.endpoint
-        if moved or connection.pending.done():
+        if moved or connection.pending.done() or connection.stream.closed():
             self._close(connection)
             return
         connection.idle_since = asyncio.get_running_loop().time()
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from hillridge.interface import Outcome
+from hillridge.interface import Effect, Outcome, RequestClass, Scope
 from lockspoke.memory.calls import Attempt, Call
 from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
 from lockspoke.memory.numbers import Numbers, key_number
@@ -57,6 +57,8 @@
         self.stopped: list[Attempt] = []
         self.forgotten: list[Worker] = []
         self.watches: list[bool] = []
+        self.connects = True  # whether connections come up at once
+        self.more: set[Attempt] = set()  # of whose answers more has come than is passed on
         self.core = Core(settings(**changes), 7, Registry(Numbers(), ["z"]), self, self, self)
         entries = tuple(Entry(f"w{i}", "ready", ("127.0.0.1", 5000 + i), "z") for i in range(workers))
         self.core.list_changed(RegistryUpdate(1, True, entries), cached=True)
@@ -70,6 +72,11 @@
 
     def start(self, attempt: Attempt) -> None:
         self.started.append(attempt)
+        if self.connects:
+            assert attempt.begins()
+
+    def unread(self, attempt: Attempt) -> bool:
+        return attempt in self.more
 
     def stop(self, attempt: Attempt) -> None:
         self.stopped.append(attempt)
@@ -242,6 +249,131 @@
     assert world.core.totals["left"] == 1
 
 
+def keyed(scope: Scope = Scope.ALL, window: int = 5 * SECOND) -> RequestClass:
+    return RequestClass(effect=Effect.KEYED, scope=scope, window=window)
+
+
+def left(world: World, call: Call) -> None:
+    world.core.client_left(call)
+
+
+def drained(world: World, call: Call) -> None:
+    uid = call.attempts[0].worker.uid
+    world.core.list_changed(RegistryUpdate(2, False, (Entry(uid, "draining", ("127.0.0.1", 5000), "z"),)))
+
+
+def banned(world: World, call: Call) -> None:
+    assert world.core.ban(call.attempts[0].worker.uid, True)
+
+
+@pytest.mark.parametrize("happens", [left, drained, banned])
+def test_what_happens_while_a_connection_comes_up_is_heard_before_the_first_byte(
+    happens: Callable[[World, Call], None],
+) -> None:
+    """A request was written after its client had left, and to a worker that had been told to drain."""
+    world = World()
+    world.connects = False
+    call, _ = world.call()
+    attempt = world.started[0]
+    happens(world, call)
+    assert attempt.outcome is None
+    assert not attempt.begins() and attempt.outcome is Outcome.MOOT
+    # The one whose client still waits goes elsewhere at once.
+    others = [one.worker for one in world.started[1:]]
+    assert len(others) == (happens is not left) and attempt.worker not in others
+    assert bool(world.core.calls) == (happens is not left)
+
+
+def test_a_repeat_whose_window_ends_while_it_connects_is_not_sent() -> None:
+    """Decided within the window, its first byte went out behind it, where a second run is not discarded."""
+    world = World(classes=(keyed(window=SECOND),))
+    world.call()
+    world.connects = False
+    world.pass_time(SECOND - 60 * MS)
+    world.started[0].ended(Outcome.RESET)
+    repeat = world.started[1]
+    assert repeat.begin_by == repeat.sent_at + 60 * MS
+    world.pass_time(60 * MS)
+    assert not repeat.begins() and repeat.outcome is Outcome.MOOT
+
+
+def test_an_attempt_whose_time_ends_while_it_connects_has_not_run() -> None:
+    """Counted as one that may have run, it made a failure of what could be refused."""
+    world = World(classes=(RequestClass(effect=Effect.UNSAFE),))
+    world.connects = False
+    _, sink = world.call()
+    world.pass_time(4 * SECOND)
+    assert world.started[0].outcome is Outcome.MOOT and sink.got == ["refused"]
+
+
+@pytest.mark.parametrize(
+    ("kind", "sent", "outcome", "told"),
+    [
+        (RequestClass(effect=Effect.UNSAFE), True, None, "failed"),
+        (RequestClass(effect=Effect.UNSAFE), False, None, "refused"),
+        (RequestClass(effect=Effect.UNSAFE), True, Outcome.FULL, "refused"),
+        (RequestClass(effect=Effect.UNSAFE), False, Outcome.CONNECT_FAILED, "refused"),
+        (keyed(), True, None, "refused"),
+        (keyed(Scope.CELL), True, None, "failed"),
+    ],
+)
+def test_what_is_handed_over_is_refused_unless_a_repeat_may_do_harm(
+    kind: RequestClass, sent: bool, outcome: Outcome | None, told: str
+) -> None:
+    """Whatever had an attempt counted as run, also where the attempt was proved never to have."""
+    world = World(workers=1, classes=(kind,), max_attempts=2)
+    world.connects = sent
+    _, sink = world.call()
+    if outcome is not None:
+        world.started[0].ended(outcome)
+    if not sink.got:
+        world.core.hand_over()
+    assert sink.got == [told]
+
+
+def test_a_class_that_a_reload_renumbers_keeps_its_effect_for_calls_that_are_open() -> None:
+    world = World(workers=1, classes=(RequestClass(effect=Effect.UNSAFE),))
+    _, sink = world.call()
+    world.core.reconfigure(settings(classes=(RequestClass(), RequestClass(effect=Effect.UNSAFE))), ["z"])
+    world.core.hand_over()
+    assert sink.got == ["failed"]
+
+
+def test_a_stream_that_its_worker_has_finished_is_not_cut_by_the_hand_over() -> None:
+    """Its last bytes had come, and its client was cut off before them."""
+
+    async def play() -> None:
+        world = World(workers=1)
+        _, sink = world.call()
+        sink.waits = asyncio.get_running_loop().create_future()
+        attempt = world.started[0]
+        held_up = attempt.streamed(b"a")
+        world.more.add(attempt)
+        world.core.hand_over(at_once=False)
+        assert held_up is not None and held_up.done(), (
+            "what has come is taken whether the client is slow or not"
+        )
+        assert attempt.streamed(b"b") is None and sink.got == [b"a", b"b"]
+        attempt.ended(Outcome.OK)
+        world.core.hand_over(at_once=False)
+        assert sink.got == [b"a", b"b", "end"]
+
+    asyncio.run(play())
+
+
+def test_streams_are_handed_over_only_where_clients_ask_for_the_rest_and_at_last_all_of_them() -> None:
+    world = World(workers=1)
+    (_, stream), (_, waiting) = world.call(), world.call()
+    world.started[0].streamed(b"a")
+    world.more.add(world.started[0])
+    world.core.hand_over(streams=False)
+    assert stream.got == [b"a"] and waiting.got == ["refused"]
+    world.core.hand_over(at_once=False)
+    assert stream.got == [b"a"]
+    world.core.hand_over()
+    assert stream.got == [b"a", "broken"] and not world.core.calls
+
+
 def test_a_silent_stream_is_given_up_so_that_its_client_can_ask_for_the_rest() -> None:
     world = World()
     world.core.start()
@@ -259,11 +391,12 @@
         world.core.start()
         _, sink = world.call()
         sink.waits = asyncio.get_running_loop().create_future()
-        assert world.started[0].streamed(b"a") is sink.waits
+        held_up = world.started[0].streamed(b"a")
         world.pass_time(2 * SILENT)
-        assert sink.got == [b"a"]
+        assert sink.got == [b"a"] and held_up is not None and not held_up.done()
         sink.waits.set_result(None)
         await asyncio.sleep(0)
+        assert held_up.done()
         world.pass_time(SILENT // 2)
         assert sink.got == [b"a"]
 
--- a/tests/wire/test_keepalive.py
+++ b/tests/wire/test_keepalive.py
@@ -49,6 +49,10 @@
     def __init__(self) -> None:
         self.ends: list[Outcome] = []
 
+    def begins(self, attempt: Attempt) -> bool:
+        del attempt
+        return True
+
     def streamed(self, attempt: Attempt, data: bytes) -> None:
         del attempt, data
 
