Connections end in order: what crosses a close is read first, answers outlast slow clients

The dial and a repeat on a new connection took their time from the wait. - `_decide` dropped the actions of all events of a batch when one raised: sends that the module had counted were never made, and each later outcome was another attempt's.

Change: a client's connection has a phase (serving, last, ending); an end is a half-close once all is sent, what crosses it is dropped, and the connection closes when the client does or LINGER after the last byte. Idle ones are looked at (MSG_PEEK) before they close. A whole list has 1.5 s, counted from its writing. Events are decided on one by one, and a fault keeps what was decided before it. A worker that has moved or begun anew while a connection came up gets nothing over it.

Two tests waited for the gateway to close first; they now see its end of sending and close themselves. tests/peers.py: peers whose every byte, half-close and reset the test commands; tests/wire/test_races.py, one test a crossing.

--- a/lockspoke/lifecycle/address.py
+++ b/lockspoke/lifecycle/address.py
@@ -20,6 +20,7 @@
 from lockspoke.address.settings import Settings, endpoint
 from lockspoke.memory.core import Core
 from lockspoke.wire.clients import ClientConnection, ClientFront
+from lockspoke.wire.listener import close_resting
 
 from .config import Config, ConfigError
 from .parts import Surroundings
@@ -139,7 +140,7 @@
             before = loop.time() - QUIET
             for connection in list(leaving):
                 if connection.idle and connection.active_at <= before:
-                    connection.stream.close()
+                    close_resting(connection)
                 if connection.stream.closed():
                     leaving.discard(connection)
             if leaving and self.gateway.resumes and loop.time() >= end:
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -107,6 +107,7 @@
     sent_at: int
     deadline: int
     reports: Reports
+    place: object = None  # the worker's process and address as they were when it was decided on
     begin_by: int = 0  # no byte goes out from then on; 0: no such time
     stage: Stage = Stage.CONNECTING
     outcome: Outcome | None = None  # None: still out
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
@@ -65,7 +65,7 @@
         self.calls: dict[int, Call] = {}
         self.totals: Counter[str] = Counter()
         self.live_refused_at = 0  # when a call that somebody waits for was last turned away
-        self._events: list[api.Event] = []
+        self._events: deque[api.Event] = deque()
         self._busy = False
         self._asks = settings.ask_for_list
 
@@ -196,13 +196,14 @@
         """Its connection is up: whether its first byte may go out now.
 
         Connecting takes its time, and what was decided before may not hold any more: the client has left,
-        the worker was told to drain, the time in which a repeat does no harm has passed.
+        the worker was told to drain or has begun anew, the time in which a repeat does no harm has passed.
         """
         now, call, worker = self.timers.now(), attempt.call, attempt.worker
         if attempt.outcome is not None:
             return False
         late = now >= attempt.deadline or (attempt.begin_by and now >= attempt.begin_by)
-        if call.answered or call.owner is not None or late or not self.registry.takes(worker):
+        moved = worker.place != attempt.place or not self.registry.takes(worker)
+        if call.answered or call.owner is not None or late or moved:
             self.ended(attempt, api.Outcome.MOOT)
             return False
         attempt.stage = Stage.SENT
@@ -292,19 +293,20 @@
         self._busy = True
         try:
             while self._events:
-                events, self._events = self._events, []
-                self._decide(events)
+                self._decide(self._events.popleft())
         finally:
             self._busy = False
 
-    def _decide(self, events: list[api.Event]) -> None:
+    def _decide(self, event: api.Event) -> None:
+        """Have one event decided on: a fault costs what would have followed from it, and no other event."""
         try:
-            actions = self.balancer.handle(self.timers.now(), events)
+            actions = self.balancer.handle(self.timers.now(), [event])
         except Exception:
             # The program must outlive a fault of the decisions; the sweep answers what they leave open.
-            log.exception("decisions_failed", events=[type(event).__name__ for event in events])
+            log.exception("decisions_failed", given=type(event).__name__)
             self.totals["decisions_failed"] += 1
-            return
+            # What was decided before the fault is counted as done by then, and so it has to be.
+            actions = self.balancer.out
         for action in actions:
             self._carry_out(action)
 
@@ -339,6 +341,7 @@
         now = self.timers.now()
         deadline = min(now + timeout, call.deadline) if timeout else call.deadline
         attempt = Attempt(call, len(call.attempts), worker, now, deadline, self)
+        attempt.place = worker.place
         attempt.begin_by = now + begin_within if begin_within else 0
         call.attempts.append(attempt)
         if call.answered or call.owner is not None or now >= deadline:
--- a/lockspoke/memory/registry.py
+++ b/lockspoke/memory/registry.py
@@ -46,6 +46,11 @@
     state: str
     boot_ms: int
 
+    @property
+    def place(self) -> object:
+        """Its process and address: another one is another worker's, or this one begun anew."""
+        return self.endpoint, self.boot_ms
+
 
 class Registry:
     """The workers that lists have named, until they are gone and nothing speaks of them any more."""
@@ -89,7 +94,7 @@
                 self._stand(worker, touched)
                 continue
             self._leave(worker)
-            if entry.state != "ready" or (entry.endpoint, entry.boot_ms) != (worker.endpoint, worker.boot_ms):
+            if entry.state != "ready" or (entry.endpoint, entry.boot_ms) != worker.place:
                 left.append(worker)
             worker.endpoint, worker.boot_ms = entry.endpoint or worker.endpoint, entry.boot_ms
             worker.state = entry.state
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Mapping
+from enum import Enum
 from types import MappingProxyType
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -23,7 +24,7 @@
     encode_chunk,
     encode_head,
 )
-from .listener import READ, Listener, Outbox
+from .listener import READ, Listener, Outbox, close_resting
 
 MS = 1_000_000
 SECOND = 1_000 * MS
@@ -37,7 +38,7 @@
 CROWDED = 0.5
 FIRST = 2.25  # seconds a new connection may stand without a byte: it holds a place that others need
 HALF = 2.25  # seconds a request may take to arrive
-LINGER = 1.0  # seconds that a connection stays open after the answer to bad input
+LINGER = 1.0  # seconds that a connection stays open once its last answer is sent: clients close before
 LINGER_BYTES = 256 * 1024  # of bad input that are still read: what follows is not worth the CPU
 STALL = 20.0  # seconds a client may take nothing of its answer
 BUSY_RETRY = SECOND  # advice with the overload reply to what would go past the bound on held bytes
@@ -91,6 +92,14 @@
             connection.check(now)
 
 
+class Phase(Enum):
+    """What a client's connection is good for."""
+
+    SERVING = "serving"  # what comes is read and answered
+    LAST = "last"  # what comes is dropped, since where a message begins is not known; answers owed go out
+    ENDING = "ending"  # the last answer is written: what comes is dropped until the client closes
+
+
 class ClientConnection:
     """One client: its requests are answered in order, one at a time."""
 
@@ -105,8 +114,7 @@
         self.waiting: deque[Request | HttpError] = deque()
         self.call: Call | None = None
         self.asked = False  # whether a byte has ever come
-        self.spoilt = False  # what comes now is not read any more: where a message begins is not known
-        self.closing = False
+        self.phase = Phase.SERVING
         self.leaving = False  # the address that it came by has gone elsewhere: it ends after this answer
         self.guard: Callable[[], bool] | None = None  # whether what comes by that address still counts
 
@@ -121,11 +129,11 @@
         try:
             while True:
                 data = await self.stream.read_bytes(READ, partial=True)
-                if not self.spoilt and not self.closing:
+                if self.phase is Phase.SERVING:
                     self._take(data)
                     continue
                 dropped += len(data)
-                if self.closing and dropped > LINGER_BYTES:
+                if self.phase is Phase.ENDING and dropped > LINGER_BYTES:
                     # Left unread, the rest blocks a client that sends on and on; the sweep closes soon.
                     await self.ended.wait()
         except StreamClosedError:
@@ -138,15 +146,17 @@
 
     def check(self, now: float) -> None:
         """Guards against clients that take or send nothing for ever."""
-        if (
-            self.outbox.stalled(now, STALL)
-            or (self.closing and now - self.active_at > LINGER)
-            or (not self.asked and now - self.opened_at > FIRST)
-        ):
+        sent_at = self.outbox.ended_at  # until then a slow client still takes its answer
+        if self.outbox.stalled(now, STALL) or (sent_at is not None and now - sent_at > LINGER):
             self.stream.close()
             self.ended.set()
+        elif not self.asked and now - self.opened_at > FIRST:
+            close_resting(self)
         elif (
-            self.call is None and not self.closing and not self.gatherer.idle and now - self.active_at > HALF
+            self.call is None
+            and self.phase is Phase.SERVING
+            and not self.gatherer.idle
+            and now - self.active_at > HALF
         ):
             self._refuse_input(HttpError(408, "request took too long"))
 
@@ -158,12 +168,12 @@
             if self.gatherer.wants_continue():
                 self.outbox.write(encode_head(100, {}))
         except HttpError as error:
-            self._spoil(error)
-        if len(self.waiting) > WAITING and not self.spoilt:
+            self._read_no_more(error)
+        if len(self.waiting) > WAITING and self.phase is Phase.SERVING:
             # What came first is still answered: to close now would lose a call that was taken.
             while len(self.waiting) > WAITING:
                 self.waiting.pop()
-            self._spoil(HttpError(503, "too many requests sent ahead"))
+            self._read_no_more(HttpError(503, "too many requests sent ahead"))
         self._hold(self.gatherer.size + self._waiting_bytes())
         if self.front.held_bytes > self.front.most_bytes and self.call is None:
             # Guards the memory limit: many large requests at once are turned away, not buffered.
@@ -171,10 +181,10 @@
         elif self.call is None:
             self._next()
 
-    def _spoil(self, error: HttpError) -> None:
+    def _read_no_more(self, error: HttpError) -> None:
         """This is the last answer here, after those that are owed already; the rest goes unread."""
         self.waiting.append(error)
-        self.spoilt = True
+        self.phase = Phase.LAST
         self.gatherer = Gatherer()
 
     def _waiting_bytes(self) -> int:
@@ -194,7 +204,7 @@
 
     def _next(self) -> None:
         """Answer what waits, up to the first call."""
-        while self.waiting and self.call is None and not self.closing:
+        while self.waiting and self.call is None and self.phase is not Phase.ENDING:
             request = self.waiting.popleft()
             if isinstance(request, HttpError):
                 self._refuse_input(request)
@@ -268,7 +278,12 @@
         """Where a message ends is not known any more, so the connection ends with the answer."""
         headers = {"Retry-After": _seconds(BUSY_RETRY)} if error.status == 503 else None
         self.outbox.write(encode_answer(error.status, f"{error}\n".encode(), _plain(headers), False))
-        self.closing, self.active_at = True, asyncio.get_running_loop().time()
+        self.active_at = asyncio.get_running_loop().time()
+        self._end()
+
+    def _end(self) -> None:
+        """The last answer is written. A request that has crossed it is not run: its client sends it again."""
+        self.phase = Phase.ENDING
         self.waiting.clear()
         self.outbox.finish()
 
@@ -284,9 +299,7 @@
             self._hold(self.gatherer.size + self._waiting_bytes())
             self._next()
         else:
-            self.closing = True
-            self.waiting.clear()
-            self.outbox.close()
+            self._end()
 
 
 class StreamedAnswer:
--- a/lockspoke/wire/listener.py
+++ b/lockspoke/wire/listener.py
@@ -12,6 +12,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import add_accept_handler, bind_sockets
 
+from .closing import quiet
+
 BACKLOG = 1024
 READ = 16 * 1024
 TELL = 10.0  # seconds between two lines about the limit, however often it is met
@@ -36,6 +38,14 @@
         """Serve until it ends."""
 
 
+def close_resting(connection: Connection) -> bool:
+    """Close a connection between two requests, unless the next has come: it is owed an answer."""
+    resting = quiet(connection.stream)
+    if resting:
+        connection.stream.close()
+    return resting
+
+
 class Listener:
     """Accepts connections at one address, no more at a time than its descriptors allow."""
 
@@ -70,13 +80,9 @@
         """Close the connection that is idle for longest: its client just opens another one."""
         # Not one that has come this moment: its first request may be on its way.
         before = asyncio.get_running_loop().time() - FRESH
-        idle = [
-            one for one in self.connections if one.idle and one.active_at < before and not one.stream.closed()
-        ]
-        if idle:
-            # Those that have never sent a byte go first: hundreds of them must not crowd out the others.
-            min(idle, key=lambda one: (one.asked, one.active_at)).stream.close()
-        return bool(idle)
+        idle = [one for one in self.connections if one.idle and one.active_at < before]
+        # Those that have never sent a byte go first: hundreds of them must not crowd out the others.
+        return any(close_resting(one) for one in sorted(idle, key=lambda one: (one.asked, one.active_at)))
 
     def reclaim(self) -> None:
         """At the bound, look again for a connection that has become idle."""
@@ -119,7 +125,7 @@
         before = asyncio.get_running_loop().time() - older_than
         for connection in list(self.connections):
             if connection.idle and connection.active_at <= before:
-                connection.stream.close()
+                close_resting(connection)
 
     def close_all(self) -> None:
         """Close every connection."""
@@ -153,6 +159,7 @@
         self.stream = stream
         self.unsent = 0
         self.progress_at = 0.0
+        self.ended_at: float | None = None  # when all was sent and the sending ended
 
     def write(self, data: bytes) -> asyncio.Future[None] | None:
         """Send; the future, if any, is done when the client has caught up."""
@@ -174,20 +181,11 @@
         if not done.cancelled():
             done.exception()
 
-    def close(self) -> None:
-        """Close once what was written is sent."""
-        if not self.unsent or self.stream.closed():
-            self.stream.close()
-            return
-        # An empty write is done when all that stands before it is.
-        flushed = asyncio.ensure_future(self.stream.write(b""))
-        flushed.add_done_callback(lambda _: self.stream.close())
-
     def finish(self) -> None:
-        """Send what was written and end the sending only.
+        """Send what was written, then end the sending only.
 
-        To close with bytes unread would reset the connection, and the client might never see the answer
-        that told it why.
+        To close with bytes unread would reset the connection, and what the client has not taken of its answer
+        by then would be gone with it: whoever owns the connection reads on, and closes once the client has.
         """
         try:
             flushed = asyncio.ensure_future(self.stream.write(b""))
@@ -197,6 +195,7 @@
 
     def _end_sending(self, flushed: asyncio.Future[None]) -> None:
         if not flushed.cancelled() and flushed.exception() is None and not self.stream.closed():
+            self.ended_at = asyncio.get_running_loop().time()
             with contextlib.suppress(OSError):
                 self.stream.socket.shutdown(socket.SHUT_WR)
 
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -16,7 +16,8 @@
 HOLD_MS = 8000
 SPREAD_MS = 4000  # over which the holds of all gateways are spread: a change makes them all ask anew at once
 GRACE = 0.4  # seconds past the hold: 2 s past it what a silent watch has missed counts as told
-CONNECT = 1.0
+LIST_TIME = 1.5  # seconds for a call that may not wait: one that discovery can't serve in time ends in a 503
+CONNECT = 1.0  # seconds
 SILENT_TRIES = 2  # calls in a row that may fall silent before the service counts as failing
 
 log = structlog.get_logger()
@@ -45,7 +46,6 @@
         self._stream: IOStream | None = None
         self._task: asyncio.Task[None] | None = None
         self._failing = False
-        self._asked = False  # the present call is written
 
     def watch(self, enable: bool) -> None:
         """Begin to watch, or end that; a watch that runs goes on."""
@@ -79,9 +79,10 @@
         while True:
             rev = core.registry.rev
             wait = f"?from={rev}&hold_ms={self.hold_ms}" if rev >= 0 else ""
+            patience = self.hold_ms / 1000 + GRACE if rev >= 0 else LIST_TIME
             try:
                 # The next watch has to come within 200 ms of the last answer: at once.
-                update = decode_list(await self._call(f"/discovery/hosts{wait}"))
+                update = decode_list(await self._call(f"/discovery/hosts{wait}", patience))
                 if update.whole and not update.entries and core.registry.ready:
                     # Guards against a discovery that has lost its own list: all workers at once are not gone.
                     raise ListError(f"an empty list; the {core.registry.ready} workers in force stay")
@@ -105,39 +106,43 @@
                 log.info("registry_changed", rev=update.rev, whole=update.whole, entries=len(update.entries))
             core.list_changed(update)
 
-    async def _call(self, target: str) -> bytes:
+    async def _call(self, target: str, patience: float) -> bytes:
         reused = self._stream is not None and not self._stream.closed()
         try:
-            async with asyncio.timeout(self.hold_ms / 1000 + GRACE):
-                try:
-                    return await self._exchange(target)
-                except StreamClosedError:
-                    if not reused:
-                        raise
-                    # Discovery closed the connection between two calls: that is no failure of a call.
-                    self._hang_up()
-                    return await self._exchange(target)
-        except TimeoutError as error:
-            if self._asked:
-                raise SilentError(f"no answer {GRACE} s past the {self.hold_ms} ms it may wait") from None
-            raise CallError(f"{type(error).__name__}: {error}") from None
+            try:
+                return await self._exchange(target, patience)
+            except StreamClosedError:
+                if not reused:
+                    raise
+                # Discovery closed the connection between two calls: that is no failure of a call.
+                self._hang_up()
+                return await self._exchange(target, patience)
         except (StreamClosedError, HttpError, OSError) as error:
             raise CallError(f"{type(error).__name__}: {error}") from None
 
-    async def _exchange(self, target: str) -> bytes:
-        self._asked = False
+    async def _exchange(self, target: str, patience: float) -> bytes:
+        """One call: `patience` is how many seconds its answer may take, from when the call is written."""
+        stream = await self._connected()
+        try:
+            async with asyncio.timeout(patience):
+                await stream.write(encode_request("GET", target, {"Host": "{}:{}".format(*self.endpoint)}))
+                return await self._answer(stream)
+        except TimeoutError:
+            raise SilentError(f"no answer within {patience:g} s") from None
+
+    async def _connected(self) -> IOStream:
         if self._stream is None or self._stream.closed():
             family = socket.AF_INET6 if ":" in self.endpoint[0] else socket.AF_INET
             self._stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
             self._stream.set_nodelay(True)
             async with asyncio.timeout(CONNECT):
                 await self._stream.connect(self.endpoint)
-        host = "{}:{}".format(*self.endpoint)
-        await self._stream.write(encode_request("GET", target, {"Host": host}))
-        self._asked = True
+        return self._stream
+
+    async def _answer(self, stream: IOStream) -> bytes:
         parser, body, head = ResponseParser(), bytearray(), None
         while True:
-            for piece in parser.feed(await self._stream.read_bytes(65536, partial=True)):
+            for piece in parser.feed(await stream.read_bytes(65536, partial=True)):
                 if isinstance(piece, ResponseHead):
                     head = piece
                 elif isinstance(piece, Data):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,9 +11,7 @@
 
 
 def pytest_addoption(parser: pytest.Parser) -> None:
-    parser.addoption(
-        "--known-red", metavar="FILE", help="lines of: test | cause | issue"
-    )
+    parser.addoption("--known-red", metavar="FILE", help="lines of: test | cause | issue")
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -262,11 +262,16 @@
     world.core.list_changed(RegistryUpdate(2, False, (Entry(uid, "draining", ("127.0.0.1", 5000), "z"),)))
 
 
+def restarted(world: World, call: Call) -> None:
+    uid, endpoint = call.attempts[0].worker.uid, call.attempts[0].worker.endpoint
+    world.core.list_changed(RegistryUpdate(2, False, (Entry(uid, "ready", endpoint, "z", boot_ms=10**6),)))
+
+
 def banned(world: World, call: Call) -> None:
     assert world.core.ban(call.attempts[0].worker.uid, True)
 
 
-@pytest.mark.parametrize("happens", [left, drained, banned])
+@pytest.mark.parametrize("happens", [left, drained, restarted, banned])
 def test_what_happens_while_a_connection_comes_up_is_heard_before_the_first_byte(
     happens: Callable[[World, Call], None],
 ) -> None:
@@ -416,6 +421,43 @@
     assert sink.got == ["failed"] and not world.core.calls
 
 
+def test_a_fault_of_the_decisions_takes_back_nothing_that_was_decided(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A send that they had counted was dropped: from then on each outcome was another attempt's."""
+    world = World(workers=1)
+    handle = world.core.balancer.handle
+
+    def broken_after(now: int, events: list[Any]) -> None:
+        handle(now, events)
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(world.core.balancer, "handle", broken_after)
+    call, sink = world.call()
+    assert len(world.started) == len(call.attempts) == 1
+    monkeypatch.undo()
+    world.started[0].streamed(b"a")
+    world.started[0].ended(Outcome.OK)
+    assert sink.got == [b"a", "end"] and not world.core.balancer.requests
+
+
+def test_a_fault_at_one_event_costs_no_other_that_waits_behind_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All that had been posted meanwhile was one batch, and was lost with it."""
+    world = World(workers=1)
+    handle, faults = world.core.balancer.handle, [True]
+
+    def broken_once(now: int, events: list[Any]) -> list[Any]:
+        if faults and faults.pop():
+            # What follows is posted while this event is decided on.
+            world.call()
+            raise ZeroDivisionError
+        return handle(now, events)
+
+    monkeypatch.setattr(world.core.balancer, "handle", broken_once)
+    world.core.list_failed()
+    assert len(world.started) == 1
+
+
 def test_a_worker_that_drains_gets_nothing_new_and_its_connections_close() -> None:
     world = World()
     told = RegistryUpdate(2, False, (Entry("w0", "draining", ("127.0.0.1", 5000), "z"),))
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,136 @@
+"""Peers whose every byte, half-close, reset and silence the test commands, and a gateway in this process.
+
+What a peer does is in the kernel at once, and the gateway's loop hears of it only when the test awaits: so a
+test puts two events into the order that it wants, every time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from typing import Any
+
+from hillridge.interface import RequestClass, Settings
+from lockspoke.lifecycle.program import LoopTimers
+from lockspoke.memory.core import Core
+from lockspoke.memory.numbers import Numbers
+from lockspoke.memory.registry import Entry, Registry, RegistryUpdate
+from lockspoke.wire.clients import ClientFront
+from lockspoke.wire.workers import WorkerConnections
+from tests.hillridge.helpers import settings
+from tests.standins import PATIENCE
+
+MS = 1_000_000
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER: a close that resets
+
+
+class Line:
+    """One connection, in the test's hands."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.setblocking(False)
+
+    def send(self, data: bytes) -> None:
+        assert self.sock.send(data) == len(data)
+
+    def half_close(self) -> None:
+        self.sock.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        self.sock.close()
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.sock.close()
+
+    async def more(self) -> bytes:
+        """The next bytes; none at the end."""
+        return await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.sock, 65536), PATIENCE)
+
+    async def read(self, mark: bytes) -> bytes:
+        """All that comes, up to a mark."""
+        got = b""
+        while mark not in got:
+            data = await self.more()
+            assert data, got
+            got += data
+        return got
+
+    async def rest(self) -> bytes:
+        """All that comes, up to an end that is in order."""
+        got = b""
+        while data := await self.more():
+            got += data
+        return got
+
+
+class Peer:
+    """A port where the test is the worker, or discovery; full, connections to it don't come up for now."""
+
+    def __init__(self, full: bool = False) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=0 if full else 16)
+        self.sock.setblocking(False)
+        self.endpoint: tuple[str, int] = self.sock.getsockname()
+        self.plugs = [self._plug() for _ in range(full)]
+
+    def _plug(self) -> socket.socket:
+        """A backlog of none holds one: what comes after it is asked to come again, a second later."""
+        plug = socket.create_connection(self.endpoint)
+        plug.setblocking(False)
+        return plug
+
+    async def let_in(self) -> Line:
+        """Take the connection that fills the backlog, so that the next comes up."""
+        for plug in self.plugs:
+            plug.close()
+            (await self.accept()).close()
+        return await self.accept()
+
+    async def accept(self) -> Line:
+        taken = await asyncio.wait_for(asyncio.get_running_loop().sock_accept(self.sock), PATIENCE)
+        return Line(taken[0])
+
+
+class Gateway:
+    """The parts that carry calls, joined as the program joins them."""
+
+    def __init__(self, *workers: Peer, connect: int = 20_000, **changes: Any) -> None:
+        timers = LoopTimers()
+        self.registry = Registry(Numbers(), ["z"])
+        self.workers = WorkerConnections((), connect * MS, 60_000 * MS, 64, timers.now)
+        told: Settings = settings(**{"classes": (RequestClass(),)} | changes)
+        self.core = Core(told, 7, self.registry, timers, self.workers, self)
+        self.front = ClientFront(self.core, {"docs": 0}, 64, 48_000_000, lambda: True)
+        self.rev = 0
+        self.tell(*(Entry(f"w{at}", "ready", one.endpoint, "z") for at, one in enumerate(workers)))
+
+    def tell(self, *entries: Entry) -> None:
+        """What discovery has to say; the whole list at first."""
+        self.rev += 1
+        self.core.list_changed(RegistryUpdate(self.rev, self.rev == 1, entries))
+
+    def watch(self, enable: bool) -> None:
+        del enable
+
+    async def __aenter__(self) -> Gateway:
+        self.endpoint = self.front.listener.listen(("127.0.0.1", 0))
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.front.listener.stop()
+        self.front.listener.close_all()
+        self.workers.close()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.sleep(0)
+
+    async def client(self, **options: int) -> Line:
+        """A client's connection; its receive buffer may be small."""
+        sock = socket.socket()
+        for name, value in options.items():
+            sock.setsockopt(socket.SOL_SOCKET, getattr(socket, name), value)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, self.endpoint)
+        return Line(sock)
--- a/tests/wire/test_clients.py
+++ b/tests/wire/test_clients.py
@@ -46,6 +46,13 @@
                 got += data
         return got
 
+    async def ended(self) -> None:
+        """The gateway has ended its sending, and lets the connection go once the client does."""
+        self.client.setblocking(False)
+        rest = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(self.client, 65536), 30)
+        assert rest == b"" and not self.task.done()
+        await self.leave()
+
     async def leave(self) -> None:
         self.client.close()
         await asyncio.wait_for(self.task, 30)
@@ -217,7 +224,7 @@
         pair.world.started[0].ended(Outcome.OK)
         answer = await pair.read(EVENTS[0])
         assert b"chunked" not in answer and answer.endswith(b"\r\n\r\n" + EVENTS[0])
-        await asyncio.wait_for(pair.task, 30)
+        await pair.ended()
 
     play(test)
 
@@ -240,7 +247,7 @@
         assert answer.startswith(b"HTTP/1.1 503") and b"Retry-After: 0.050" in answer
         assert b"Connection: close" in answer
         assert pair.world.core.totals["calls"] == 1
-        await until(pair.task.done)
+        await pair.ended()
 
     play(script)
 
--- /dev/null
+++ b/tests/wire/test_races.py
@@ -0,0 +1,211 @@
+"""Two events that cross, in the order that does harm, every time: see docs/design/races.md."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from hillridge.interface import Outcome
+from lockspoke.memory.registry import Entry
+from lockspoke.wire import workers as worker_side
+from lockspoke.wire.clients import LINGER, ClientConnection
+from tests.peers import Gateway, Line, Peer
+from tests.standins import EVENTS, HEAD, TAIL, call_bytes, chunk, until
+
+UP = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
+ANSWER = HEAD + b"".join(map(chunk, [*EVENTS, TAIL])) + chunk(b"")
+LONG = b"data: " + b"x" * 30_000 + b"\n\n"
+
+
+def play(test: Callable[[Gateway, Peer], Awaitable[None]], full: bool = False) -> None:
+    async def whole() -> None:
+        peer = Peer(full=full)
+        async with Gateway(peer) as gateway:
+            await test(gateway, peer)
+
+    asyncio.run(whole())
+
+
+def served(gateway: Gateway) -> ClientConnection:
+    (one,) = gateway.front.listener.connections
+    assert isinstance(one, ClientConnection)
+    return one
+
+
+async def rested(gateway: Gateway) -> Line:
+    """A client's connection between two requests."""
+    client = await gateway.client()
+    client.send(UP)
+    await client.read(b"ready\n")
+    return client
+
+
+def sweep(gateway: Gateway) -> None:
+    gateway.front.listener.close_idle(0)
+
+
+def crowd(gateway: Gateway) -> None:
+    served(gateway).active_at -= 1.0
+    gateway.front.listener._make_room()
+
+
+@pytest.mark.parametrize("close", [sweep, crowd])
+def test_a_request_that_has_come_as_its_connection_is_closed_for_idleness_is_answered(
+    close: Callable[[Gateway], None],
+) -> None:
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await rested(gateway)
+        client.send(UP)
+        close(gateway)
+        assert b"200 OK" in await client.read(b"ready\n")
+        close(gateway)
+        assert await client.rest() == b"", "with nothing to read it is closed"
+
+    play(test)
+
+
+def test_a_first_request_that_has_come_as_its_silent_connection_is_closed_is_answered() -> None:
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await gateway.client()
+        await until(lambda: len(gateway.front.listener.connections) == 1)
+        client.send(UP)
+        served(gateway).check(asyncio.get_running_loop().time() + 60)
+        assert b"200 OK" in await client.read(b"ready\n")
+
+    play(test)
+
+
+async def slow_stream(gateway: Gateway, peer: Peer) -> tuple[Line, Line]:
+    """A stream to a client that takes next to nothing, of a gateway that has been told to stop."""
+    gateway.front.draining = True
+    client = await gateway.client(SO_RCVBUF=4096)
+    client.send(call_bytes(1))
+    worker = await peer.accept()
+    await worker.read(b"{}")
+    return client, worker
+
+
+def test_a_slow_client_gets_the_end_of_its_last_answer_after_the_time_to_linger() -> None:
+    """A second after the answer's end the connection was closed, with what the client had yet to take."""
+
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client, worker = await slow_stream(gateway, peer)
+        served(gateway).stream.socket.setsockopt(1, 7, 4096)  # SO_SNDBUF: most of it waits in the process
+        worker.send(HEAD + chunk(LONG) + chunk(b""))
+        await until(lambda: not gateway.core.calls)
+        connection = served(gateway)
+        assert connection.outbox.unsent and not connection.outbox.stalled(0, LINGER)
+        connection.check(connection.active_at + 2 * LINGER)
+        assert (await client.rest()).endswith(chunk(LONG) + chunk(b""))
+
+    play(test)
+
+
+def test_bytes_that_cross_the_last_answer_do_not_cost_it_its_end() -> None:
+    """A close over unread bytes resets: what the system still held of the answer went with it."""
+
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client, worker = await slow_stream(gateway, peer)
+        worker.send(HEAD + chunk(LONG))
+        await until(lambda: served(gateway).call is not None and gateway.core.totals["attempts"] == 1)
+        (call,) = gateway.core.calls.values()
+        await until(lambda: call.owner is not None and not served(gateway).outbox.unsent)
+        client.send(call_bytes(2))
+        call.attempts[0].ended(Outcome.OK)
+        assert (await client.rest()).endswith(chunk(LONG) + chunk(b""))
+        assert gateway.core.totals["calls"] == 1, "read after the shutdown, it is not run"
+
+    play(test)
+
+
+@pytest.mark.parametrize("late", [ANSWER, b"HTTP/1.1 2", b""], ids=["answer", "half a line", "end"])
+def test_what_a_worker_sends_behind_its_answer_never_meets_the_next_request(late: bytes) -> None:
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await gateway.client()
+        client.send(call_bytes(1))
+        first = await peer.accept()
+        await first.read(b"{}")
+        first.send(ANSWER)
+        await client.read(chunk(b""))
+        (idle,) = gateway.workers.idle[next(iter(gateway.registry.workers))]
+        await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + worker_side.SETTLE)
+        client.send(call_bytes(2))
+        # Taken from the client without the loop's looking at the worker's connection.
+        taken = served(gateway)
+        data = taken.stream.socket.recv(65536)
+        if late:
+            first.send(late)
+        else:
+            first.close()
+        taken._take(data)
+        second = await peer.accept()
+        assert b"0000000000000002" in await second.read(b"{}"), "it goes over a new connection"
+        second.send(HEAD + chunk(EVENTS[1]) + chunk(b""))
+        assert (await client.read(chunk(b""))).endswith(chunk(EVENTS[1]) + chunk(b""))
+
+    play(test)
+
+
+async def leaves(gateway: Gateway, client: Line) -> None:
+    client.close()
+    await until(lambda: gateway.core.totals["left"] == 1)
+
+
+async def drains(gateway: Gateway, client: Line) -> None:
+    (worker,) = gateway.registry.workers.values()
+    gateway.tell(Entry(worker.uid, "draining", worker.endpoint, "z"))
+    gateway.tell(Entry(worker.uid, "ready", ("127.0.0.1", 9), "z"))  # it comes back elsewhere
+
+
+@pytest.mark.parametrize("happens", [leaves, drains])
+def test_nothing_is_written_to_a_connection_that_comes_up_after(
+    happens: Callable[[Gateway, Line], Awaitable[None]],
+) -> None:
+    """The client had left, or the worker was told gone from there: the request was written all the same."""
+
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await gateway.client()
+        client.send(call_bytes(1))
+        await until(lambda: gateway.core.totals["attempts"] == 1)
+        (call,) = gateway.core.calls.values()
+        await happens(gateway, client)
+        late = await peer.let_in()
+        await until(lambda: call.attempts[0].outcome is not None)
+        assert call.attempts[0].outcome is Outcome.MOOT
+        gateway.workers.close()
+        assert await late.rest() == b""
+
+    play(test, full=True)
+
+
+def test_a_stream_that_its_worker_has_finished_outlasts_the_hand_over() -> None:
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await gateway.client()
+        client.send(call_bytes(1))
+        worker = await peer.accept()
+        await worker.read(b"{}")
+        worker.send(HEAD + chunk(EVENTS[0]))
+        await client.read(EVENTS[0])
+        worker.send(chunk(TAIL) + chunk(b""))
+        gateway.core.hand_over(at_once=False)
+        assert (await client.read(chunk(b""))).endswith(chunk(TAIL) + chunk(b""))
+        assert gateway.core.totals["handed_over"] == 0
+
+    play(test)
+
+
+def test_a_running_stream_is_handed_over_as_soon_as_all_that_has_come_is_passed_on() -> None:
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await gateway.client()
+        client.send(call_bytes(1))
+        worker = await peer.accept()
+        await worker.read(b"{}")
+        worker.send(HEAD + chunk(EVENTS[0]))
+        await client.read(EVENTS[0])
+        gateway.core.hand_over(at_once=False)
+        assert chunk(b"") not in await client.rest()
+        assert await worker.more() == b"", "its worker is told, too"
+
+    play(test)
