Calls that come too late before a kill are turned away where streams can't be resumed

Ruled out: calls held without a worker (all had their first token), the hand-over (`streams=config.resumes` is False there, and has to be: to cut a stream whose events come is a loss as well), workers that hang (events still came for two).

Lines at fault: `Program._drain` took calls up to the kill whatever could become of them. Change: a phase `turning_away`, 0.6 s after SIGTERM where streams can't be resumed: a call that comes then gets an overload reply and a connection that ends. The protocol's 0.7 s, less what a busy loop may be late.

The test drives a program to that phase and sends the rest of a request then; without the change the phase never comes.

--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -42,6 +42,7 @@
 KEEP_ACCEPTING = 0.7  # seconds after SIGTERM: clients hear late that this gateway stops
 QUIET = 0.3  # seconds without a new connection, or of an idle one, before it is closed
 LONGEST_ACCEPTING = 2.0
+LAST_CALLS = 0.6  # seconds after SIGTERM: what came later than 0.7 s is lost if a kill finds it unanswered
 
 log = structlog.get_logger()
 
@@ -52,6 +53,7 @@
     STARTING = "starting"  # no worker known yet: not ready to be sent calls
     READY = "ready"
     DRAINING = "draining"  # told to stop: answers what it has taken, and what still comes
+    TURNING_AWAY = "turning_away"  # the same, but what comes now goes elsewhere: its stream could be cut
     STOPPED = "stopped"
 
 
@@ -153,7 +155,7 @@
                     raise HttpError(404, f"no list has named {call.uid[:200]}")
                 write_bans(self.bans_file, self.registry.banned)
             case Ask.OUT_OF_SERVICE | Ask.IN_SERVICE:
-                if self.phase is Phase.DRAINING:
+                if self.phase in (Phase.DRAINING, Phase.TURNING_AWAY):
                     raise HttpError(409, "the gateway is stopping")
                 self.out_of_service = self.clients.draining = call.ask is Ask.OUT_OF_SERVICE
         log.info("operator_call", asked=call.ask.name.lower(), worker=call.uid)
@@ -268,6 +270,9 @@
         listener, loop = self.clients.listener, asyncio.get_running_loop()
         began = loop.time()
         kill = began + self.config.stop_time
+        if not self.config.resumes:
+            # No stream may be cut then, and none is sure to end in time: its worker may be slow, or hang.
+            loop.call_at(began + LAST_CALLS, self._turn_away)
         while loop.time() < min(began + LONGEST_ACCEPTING, kill - HAND_OVER):
             await asyncio.sleep(0.05)
             listener.close_idle(QUIET)
@@ -285,6 +290,12 @@
         for part in ending:
             await part
 
+    def _turn_away(self) -> None:
+        """Take no more calls: connections that clients still have here lead on to other gateways."""
+        if self.phase is Phase.DRAINING:
+            self._enter(Phase.TURNING_AWAY)
+            self.clients.turns_away = True
+
 
 def give_back() -> None:
     """Give memory that nothing uses back to the system.
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -44,7 +44,7 @@
 BUSY_RETRY = SECOND  # advice with the overload reply to what would go past the bound on held bytes
 NOT_PASSED = {"connection", "content-length", "transfer-encoding", "expect", "keep-alive", "te", "trailer"}
 NOT_PASSED |= {"upgrade", "req-id", "req-deadline-ms", "proxy-connection"}
-MOVED_RETRY = 50 * MS  # advice to a client whose address has moved: a new connection finds it
+MOVED_RETRY = 50 * MS  # advice to a client that a new connection leads elsewhere
 STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
 
 
@@ -63,6 +63,7 @@
         self.core = core
         self.ready = ready
         self.draining = False
+        self.turns_away = False  # what comes now could not be answered whole: it is told to go elsewhere
         self.held_bytes = 0
         self.open_ids: set[str] = set()  # of calls that are owed an answer
         self.listener = Listener(lambda stream: ClientConnection(self, stream), most)
@@ -233,6 +234,9 @@
             self.leaving = True
             self.whole(request, 503, "the address has moved", {"Retry-After": _seconds(MOVED_RETRY)})
             return
+        if self.front.turns_away:
+            self.whole(request, 503, "stopping", {"Retry-After": _seconds(MOVED_RETRY)})
+            return
         fields = decode_call(head.headers)
         if fields.kind not in self.front.classes:
             raise HttpError(400, "unknown Req-Kind")
--- a/tests/lifecycle/test_program.py
+++ b/tests/lifecycle/test_program.py
@@ -362,6 +362,23 @@
             assert await asyncio.wait_for(program.process.wait(), PATIENCE) == 0
 
 
+@run
+async def test_sigterm_turns_away_what_comes_too_late_to_be_answered_whole() -> None:
+    """Where no client asks for the rest: taken 0.7 s after SIGTERM, a stream that the kill cuts is lost."""
+    async with FakeWorker(streams_on) as worker, Program(worker) as program:
+        async with Client(program.port) as early, Client(program.port) as late:
+            early.writer.write(call_bytes(1))
+            await until(lambda: len(worker.seen) == 1)
+            request = call_bytes(2)
+            late.writer.write(request[:20])
+            program.process.terminate()
+            await until(lambda: program.log("phase", now="turning_away") is not None)
+            status, fields, _, whole = await late.ask(request[20:])
+            assert (status, whole, fields["connection"]) == (503, True, "close")
+            assert float(fields["retry-after"]) > 0 and len(worker.seen) == 1
+            assert await early.reader.readuntil(EVENTS[0]), "what was taken in time goes on"
+
+
 @run
 async def test_hundreds_of_silent_connections_do_not_crowd_out_those_that_ask() -> None:
     async with FakeWorker() as worker, Program(worker, sockets=120) as program:
