--- a/tests/lifecycle/test_program.py
+++ b/tests/lifecycle/test_program.py
@@ -365,18 +365,20 @@
 @run
 async def test_sigterm_turns_away_what_comes_too_late_to_be_answered_whole() -> None:
     """Where no client asks for the rest: taken 0.7 s after SIGTERM, a stream that the kill cuts is lost."""
-    async with FakeWorker(streams_on) as worker, Program(worker) as program:
-        async with Client(program.port) as early, Client(program.port) as late:
-            early.writer.write(call_bytes(1))
-            await until(lambda: len(worker.seen) == 1)
-            request = call_bytes(2)
-            late.writer.write(request[:20])
-            program.process.terminate()
-            await until(lambda: program.log("phase", now="turning_away") is not None)
-            status, fields, _, whole = await late.ask(request[20:])
-            assert (status, whole, fields["connection"]) == (503, True, "close")
-            assert float(fields["retry-after"]) > 0 and len(worker.seen) == 1
-            assert await early.reader.readuntil(EVENTS[0]), "what was taken in time goes on"
+    async with contextlib.AsyncExitStack() as stack:
+        worker = await stack.enter_async_context(FakeWorker(streams_on))
+        program = await stack.enter_async_context(Program(worker))
+        early, late = [await stack.enter_async_context(Client(program.port)) for _ in range(2)]
+        early.writer.write(call_bytes(1))
+        await until(lambda: len(worker.seen) == 1)
+        request = call_bytes(2)
+        late.writer.write(request[:20])
+        program.process.terminate()
+        await until(lambda: program.log("phase", now="turning_away") is not None)
+        status, fields, _, whole = await late.ask(request[20:])
+        assert (status, whole, fields["connection"]) == (503, True, "close")
+        assert float(fields["retry-after"]) > 0 and len(worker.seen) == 1
+        assert await early.reader.readuntil(EVENTS[0]), "what was taken in time goes on"
 
 
 @run
