Settings that keep no idle connection are taken: limits.keepalive may be 0

Line at fault: `_whole` in lifecycle/config.py held every number above 0. `KeepAlive(0.0)` had been written and tested for it. Ruled out: the pool; with 0 every connection is closed at the next look, before it can be used again.

Change: 0 is allowed there; numbers have an upper bound, so that none overflows a timer.

--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -17,6 +17,7 @@
 MS = 1_000_000
 MB = 1024 * 1024
 OWN_MEMORY_MB = 26  # what the program takes with its connections open and no request held
+LARGEST = 2**63  # no number of the settings is larger
 OWN_SOCKETS = 64  # descriptors for discovery, listeners, files, logs and what the interpreter needs
 
 
@@ -80,10 +81,10 @@
     return [str(one.get("name", "")) if isinstance(one, dict) else "" for one in _dig(settings, path, [])]
 
 
-def _whole(raw: Any, path: str, default: int) -> int:
+def _whole(raw: Any, path: str, default: int, lowest: int = 1) -> int:
     value = _dig(raw, path, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
-        raise ConfigError(f"{path} is {value!r}, want a number above 0")
+    if isinstance(value, bool) or not isinstance(value, int | float) or not lowest <= value <= LARGEST:
+        raise ConfigError(f"{path} is {value!r}, want a number from {lowest} to {LARGEST:g}")
     return int(value)
 
 
@@ -147,6 +148,6 @@
         load_names=_words(settings, "loadInfo.fields"),
         resumes=_dig(settings, "familyInfo.resume", False) is True,
         connect_timeout=_whole(settings, "limits.connectTimeout", 100 * MS),
-        keepalive=_whole(settings, "limits.keepalive", 10_000 * MS),
+        keepalive=_whole(settings, "limits.keepalive", 10_000 * MS, lowest=0),  # 0: none is kept
         operator=decode_endpoint(operator, 0) if operator else None,
     )
