What comes behind a list is never taken for the next call's answer; no watch ends unheard

A second answer, or half a line, behind a list was read as the answer to the next call, and each later call got the answer of the one before it: every drain a call (6 to 10 s) too late, where 250 ms are allowed. `_answer` dropped what stood behind the end in the same bytes. - `_run` ended on any exception but its own two: with nobody told, nobody asks again, and the list stays for ever.

Change: a connection on which something has come is not used again (`quiet`, as for workers), nor one whose answer had something behind it. A fault of ours is logged (`watch_failed`), told as a failed call, and the whole list is asked for next.

Tests with peers whose bytes are in the kernel before the loop hears of them; four of the five cases and the planted fault fail without the change. The fifth, a list that has come as SIGHUP moves discovery, held already.

--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -10,6 +10,7 @@
 
 from lockspoke.memory.core import Core
 
+from .closing import quiet
 from .discovery import LIST_LIMIT, ListError, decode_list
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
 
@@ -75,6 +76,24 @@
     async def _run(self) -> None:
         core = self.core
         assert core is not None
+        try:
+            await self._follow(core)
+        except Exception:
+            # A fault of ours: the list may be half taken; nobody asks again after a watch that just ended.
+            log.exception("watch_failed")
+            core.registry.rev = -1
+            self._failed(core, "a fault of the gateway; see watch_failed")
+
+    def _failed(self, core: Core, reason: str) -> None:
+        """The watch is over: the decisions say when to ask again."""
+        self._hang_up()
+        if not self._failing:
+            log.warning("discovery_failing", reason=reason)
+        self._failing, self._task = True, None
+        core.list_failed()
+
+    async def _follow(self, core: Core) -> None:
+        """One call after another, until one fails."""
         silent = 0
         while True:
             rev = core.registry.rev
@@ -87,16 +106,13 @@
                     # Guards against a discovery that has lost its own list: all workers at once are not gone.
                     raise ListError(f"an empty list; the {core.registry.ready} workers in force stay")
             except (CallError, ListError) as error:
-                self._hang_up()
                 silent += 1
                 if isinstance(error, SilentError) and silent <= SILENT_TRIES:
                     # Such a watch is broken, and its changes count as told soon: no pause as after a failure.
                     log.info("discovery_silent", reason=str(error))
+                    self._hang_up()
                     continue
-                if not self._failing:
-                    log.warning("discovery_failing", reason=str(error))
-                self._failing, self._task = True, None
-                core.list_failed()
+                self._failed(core, str(error))
                 return
             silent = 0
             if self._failing:
@@ -131,6 +147,10 @@
             raise SilentError(f"no answer within {patience:g} s") from None
 
     async def _connected(self) -> IOStream:
+        if self._stream is not None and not quiet(self._stream):
+            # Guards against an end that has come, and against what nobody asked for: each later call would
+            # take the answer to the one before it, and hear of every change a call too late.
+            self._hang_up()
         if self._stream is None or self._stream.closed():
             family = socket.AF_INET6 if ":" in self.endpoint[0] else socket.AF_INET
             self._stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
@@ -150,7 +170,7 @@
                     if len(body) > LIST_LIMIT:
                         raise HttpError(502, "list too large")
                 elif isinstance(piece, End) and head is not None:
-                    if not head.keep_alive:
+                    if not (head.keep_alive and parser.clean):
                         self._hang_up()
                     if head.status != 200:
                         raise CallError(f"status {head.status}")
--- a/tests/wire/test_watch.py
+++ b/tests/wire/test_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
 import pytest
@@ -23,9 +24,13 @@
         self.registry, self.rev, self.ready = self, rev, 1
         self.lists: list[Any] = []
         self.failed = 0
+        self.on_change: Callable[[], None] | None = None  # what crosses the next list, once
 
     def list_changed(self, update: Any) -> None:
         self.rev = update.rev
+        happens, self.on_change = self.on_change, None
+        if happens is not None:
+            happens()
         self.lists.append(update)
 
     def list_failed(self) -> None:
@@ -97,8 +102,7 @@
         one.watch(True)
         line = await peer.let_in()
         await line.read(b"\r\n\r\n")
-        listed = b'{"rev": 2, "all": false, "targets": []}'
-        line.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(listed), listed))
+        line.send(listed(2))
         await until(lambda: bool(told.lists or told.failed))
         one.close()
         assert told.lists and not told.failed
@@ -106,6 +110,84 @@
     asyncio.run(whole())
 
 
+def listed(rev: int) -> bytes:
+    body = b'{"rev": %d, "all": false, "targets": []}' % rev
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def follow(test: Callable[[watch.DiscoveryWatch, Peer, Told], Awaitable[None]]) -> None:
+    """A watch of a peer that the test is."""
+
+    async def whole() -> None:
+        peer, told = Peer(), Told(1)
+        one = watch.DiscoveryWatch(peer.endpoint, HOLD_MS * 100)
+        one.core = cast(Core, told)
+        one.watch(True)
+        await test(one, peer, told)
+        one.close()
+
+    asyncio.run(whole())
+
+
+@pytest.mark.parametrize("behind", [listed(2), b"HTTP/1.1 2"], ids=["a second answer", "half a line"])
+@pytest.mark.parametrize("late", [False, True], ids=["with the answer", "after it"])
+def test_what_comes_behind_an_answer_is_never_the_next_calls(behind: bytes, late: bool) -> None:
+    """Each later call would have taken the answer of the one before it."""
+
+    async def test(one: watch.DiscoveryWatch, peer: Peer, told: Told) -> None:
+        first = await peer.accept()
+        await first.read(b"from=1&")
+        if late:
+            # It comes once the answer has been taken, and before the next call is written.
+            told.on_change = lambda: first.send(behind)
+        first.send(listed(2) + (b"" if late else behind))
+        second = await peer.accept()
+        await second.read(b"from=2&")
+        second.send(listed(3))
+        await second.read(b"from=3&")
+        assert [update.rev for update in told.lists] == [2, 3]
+
+    follow(test)
+
+
+def test_a_list_that_has_come_as_discovery_moves_is_not_taken() -> None:
+    """Versions are the word of the service that gave them: the old one's would end the new one's changes."""
+
+    async def test(one: watch.DiscoveryWatch, peer: Peer, told: Told) -> None:
+        old, new = await peer.accept(), Peer()
+        await old.read(b"from=1&")
+        assert one._stream is not None
+        old.send(listed(70))
+        one.move(new.endpoint)
+        line = await new.accept()
+        assert b"from=" not in await line.read(b"\r\n\r\n")
+        line.send(listed(4))
+        await line.read(b"from=4&")
+        assert [update.rev for update in told.lists] == [4]
+
+    follow(test)
+
+
+def test_a_fault_of_our_own_ends_no_watch_unheard(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The list would have stayed as it was for ever, with nobody told."""
+
+    async def test(one: watch.DiscoveryWatch, peer: Peer, told: Told) -> None:
+        first = await peer.accept()
+        await first.read(b"from=1&")
+
+        def fault() -> None:
+            raise KeyError("planted")
+
+        told.on_change = fault
+        first.send(listed(2))
+        await until(lambda: told.failed == 1)
+        one.watch(True)
+        second = await peer.accept()
+        assert b"from=" not in await second.read(b"\r\n\r\n"), "the whole list: what was taken is not known"
+
+    follow(test)
+
+
 def test_holds_are_spread_over_the_gateways() -> None:
     holds = [watch.hold_of(index, 200) for index in range(200)]
     assert len(set(holds)) == 200 and holds == sorted(holds)
