Crossings that held already have their tests: clients that leave, a stop's backlog

No behaviour changes. A client that leaves while its request waits for room and a retry, or behind another on its connection; a request in the machine's queue as the gateway stops to listen; one that crosses a stop's last answer. Each with real connections whose bytes are in the kernel before the loop hears of them. All passed on the program as it was.

--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -16,6 +17,7 @@
 
 UP = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
 ANSWER = HEAD + b"".join(map(chunk, [*EVENTS, TAIL])) + chunk(b"")
+FULL = b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 LONG = b"data: " + b"x" * 30_000 + b"\n\n"
 
 
@@ -180,6 +182,68 @@
     play(test, full=True)
 
 
+async def after_a_full_worker(gateway: Gateway, peer: Peer) -> None:
+    client = await gateway.client()
+    client.send(call_bytes(1))
+    worker = await peer.accept()
+    await worker.read(b"{}")
+    worker.send(FULL)
+    client.close()  # in one turn of the loop with the refusal, after which it would wait for room and a retry
+
+
+async def behind_another(gateway: Gateway, peer: Peer) -> None:
+    client = await gateway.client()
+    client.send(call_bytes(1) + call_bytes(2))
+    worker = await peer.accept()
+    await worker.read(b"{}")
+    client.close()
+    await until(lambda: gateway.core.totals["left"] == 1)
+    worker.send(ANSWER)
+    await until(lambda: not gateway.core.calls)
+
+
+@pytest.mark.parametrize("waits", [after_a_full_worker, behind_another])
+def test_nothing_is_sent_for_a_client_that_left_while_its_request_waited(
+    waits: Callable[[Gateway, Peer], Awaitable[None]],
+) -> None:
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        await waits(gateway, peer)
+        await until(lambda: gateway.core.totals["left"] == 1)
+        other = await gateway.client()
+        other.send(call_bytes(3))  # it would go after what waits
+        worker = await peer.accept()
+        assert b"0000000000000003" in await worker.read(b"{}")
+        assert gateway.core.totals["attempts"] == 2, "one for each of two requests"
+
+    play(test)
+
+
+def test_a_request_in_the_backlog_as_the_gateway_stops_to_listen_is_answered() -> None:
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = Line(socket.create_connection(gateway.endpoint))
+        client.send(UP)
+        assert not gateway.front.listener.connections, "the loop has not heard of it"
+        gateway.front.listener.stop()
+        assert b"200 OK" in await client.read(b"ready\n")
+
+    play(test)
+
+
+def test_a_request_that_crosses_the_last_answer_of_a_stop_gets_no_second_one() -> None:
+    """Its bytes are there before the loop ends the sending: read and dropped, its client sends it again."""
+
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await rested(gateway)
+        gateway.front.draining = True
+        client.send(UP + call_bytes(2))
+        assert (await client.rest()).count(b"HTTP/1.1") == 1
+        assert not gateway.core.totals["calls"]
+        client.close()
+        await until(lambda: not gateway.front.listener.connections)
+
+    play(test)
+
+
 def test_a_stream_that_its_worker_has_finished_outlasts_the_hand_over() -> None:
     async def test(gateway: Gateway, peer: Peer) -> None:
         client = await gateway.client()
