Without a cold phase, a worker whose clock is ahead costs no decision any more

Seen: decisions driven with settings at their extremes (`contract.warmUp` 0, `coldShare` 0, `fall` 1 ns, 1,024 gateways with an index beyond them) and workers whose start lies ahead of our clock by 0, 5 ms and 3 s: with `warmUp` 0 the module raised ZeroDivisionError at each request until that time. The core catches it (`decisions_failed`), and the requests end at their deadlines as failed.

Line at fault: `Replica.share_of_warm`, `max(0, now - started_at) / settings.warm_up`. Ruled out: `_budget_allows` and `_cost`, where a share of 0 lets no request through to the division; tallies of kinds without a ready worker.

Change: the division by at least one nanosecond. `policy.py` is as it was.

--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -68,7 +68,8 @@
         """The capacity it surely has by now, as a share of its warm one."""
         if now >= self.warm_at:
             return 1.0
-        age = max(0, now - self.started_at) / settings.warm_up
+        # No cold phase at all, and a machine whose clock is ahead of ours: it has just begun.
+        age = max(0, now - self.started_at) / max(1, settings.warm_up)
         return settings.cold_share + (1.0 - settings.cold_share) * age
 
     def unread(self, arrived: api.Arrived) -> float:
--- a/tests/hillridge/test_rules.py
+++ b/tests/hillridge/test_rules.py
@@ -419,3 +419,33 @@
     """The mean warm replica may be several times larger than the one that has started."""
     large, small = sent_while_cold(kept=0, weight=4.0), sent_while_cold(kept=0, weight=1.0)
     assert large > 2 * small
+
+
+@pytest.mark.parametrize("ahead", [0, 5 * MS, 3 * SECOND])
+@pytest.mark.parametrize(
+    "extreme",
+    [
+        {"warm_up": 0},
+        {"warm_up": 0, "cold_share": 0.0, "fall_time": 1},
+        {"cold_share": 0.0, "fall_time": 1, "fall_multiple": 0.0},
+        {"cold_share": 0.0, "gateways": 1024, "index": 5000},
+        {"cold_share": 1.0, "warm_up": 3600 * SECOND, "ask_for_list": True, "ask_every": 1, "gateways": 1024},
+        {"max_attempts": 1, "may_duplicate": True, "cross_zone_price": 1e6},
+    ],
+)
+def test_settings_at_their_extremes_and_clocks_that_differ_cost_no_decision(
+    extreme: dict[str, Any], ahead: int
+) -> None:
+    """A worker whose clock is ahead has begun in our future; without a cold phase that divided by 0."""
+    world = World(settings(**extreme), replicas=())
+    cold, warm = ready(1, 2, started_at=world.now + ahead), ready(3, zone=9, weight=0.0)
+    for entries in (cold + warm, cold):
+        world.list(api.ListKind.FULL, entries)
+        for number in range(len(world.calls), len(world.calls) + 12):
+            world.arrive(number, prompt_tokens=100.0 * number)
+            if world.calls[number].attempts and not world.calls[number].final:
+                world.first_token(number)
+                world.end(number, api.Outcome.OK)
+            world.pass_time(SECOND)
+    world.pass_time(10 * SECOND)
+    assert all(call.final for call in world.calls.values())
