--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -12,6 +12,7 @@
 from lockspoke.memory.registry import Entry
 from lockspoke.wire import workers as worker_side
 from lockspoke.wire.clients import LINGER, ClientConnection
+from lockspoke.wire.listener import Outbox
 from tests.peers import Gateway, Line, Peer
 from tests.standins import EVENTS, HEAD, TAIL, call_bytes, chunk, until
 
@@ -94,7 +95,8 @@
 
     async def test(gateway: Gateway, peer: Peer) -> None:
         client, worker = await slow_stream(gateway, peer)
-        served(gateway).stream.socket.setsockopt(1, 7, 4096)  # SO_SNDBUF: most of it waits in the process
+        # Most of it waits in the process.
+        served(gateway).stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         worker.send(HEAD + chunk(LONG) + chunk(b""))
         await until(lambda: not gateway.core.calls)
         connection = served(gateway)
@@ -122,6 +124,27 @@
     play(test)
 
 
+def test_a_client_that_takes_nothing_delays_no_event_of_another() -> None:
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        lazy, slow_worker = await slow_stream(gateway, peer)
+        served(gateway).stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        slow_worker.send(HEAD + b"".join(chunk(LONG) for _ in range(4)))
+        await until(lambda: served(gateway).outbox.unsent > Outbox.HIGH)
+        client = await gateway.client()
+        client.send(call_bytes(2))
+        worker = await peer.accept()
+        await worker.read(b"{}")
+        worker.send(HEAD)
+        for event in (EVENTS[0], EVENTS[1], EVENTS[0]):
+            worker.send(chunk(event))  # the next is not written before this one has been passed on
+            assert (await client.read(chunk(event))).endswith(chunk(event))
+        worker.send(chunk(b""))
+        assert (await client.rest()).endswith(chunk(b""))
+        lazy.close()
+
+    play(test)
+
+
 @pytest.mark.parametrize("late", [ANSWER, b"HTTP/1.1 2", b""], ids=["answer", "half a line", "end"])
 def test_what_a_worker_sends_behind_its_answer_never_meets_the_next_request(late: bytes) -> None:
     async def test(gateway: Gateway, peer: Peer) -> None:
