--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -5,10 +5,12 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
+from tornado.iostream import IOStream
 
-from hillridge.interface import Outcome
+from hillridge.interface import Effect, Outcome, RequestClass
 from lockspoke.memory.registry import Entry
 from lockspoke.wire import workers as worker_side
 from lockspoke.wire.clients import LINGER, ClientConnection
@@ -22,10 +24,10 @@
 LONG = b"data: " + b"x" * 30_000 + b"\n\n"
 
 
-def play(test: Callable[[Gateway, Peer], Awaitable[None]], full: bool = False) -> None:
+def play(test: Callable[[Gateway, Peer], Awaitable[None]], full: bool = False, **settings: Any) -> None:
     async def whole() -> None:
         peer = Peer(full=full)
-        async with Gateway(peer) as gateway:
+        async with Gateway(peer, **settings) as gateway:
             await test(gateway, peer)
 
     asyncio.run(whole())
@@ -173,6 +175,33 @@
     play(test)
 
 
+@pytest.mark.parametrize(
+    ("whole", "outcome", "status"), [(False, "connect_failed", b"503"), (True, "reset", b"502")]
+)
+def test_a_worker_that_resets_has_run_a_request_only_if_its_last_byte_was_written(
+    monkeypatch: pytest.MonkeyPatch, whole: bool, outcome: str, status: bytes
+) -> None:
+    """Of a class that may run once: turned away, its client sends it again; failed, it does not."""
+
+    def small(sock: socket.socket, **options: int) -> IOStream:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return IOStream(sock, **options)
+
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # and of what it accepts
+        client = await gateway.client()
+        sent = call_bytes(1, body=b"x" * 200_000)
+        await asyncio.get_running_loop().sock_sendall(client.sock, sent)
+        worker = await peer.accept()
+        await worker.read(b"x" * 200_000 if whole else b"\r\n\r\n")
+        worker.reset()
+        assert status in await client.read(b"\r\n\r\n")
+        assert gateway.core.totals[f"outcome_{outcome}"] == gateway.core.totals["attempts"]
+
+    monkeypatch.setattr(worker_side, "IOStream", small)
+    play(test, classes=(RequestClass(effect=Effect.UNSAFE),))
+
+
 async def leaves(gateway: Gateway, client: Line) -> None:
     client.close()
     await until(lambda: gateway.core.totals["left"] == 1)
