The test command reads KNOWN-RED.txt where the file exists, too

Before the option is known pytest takes the second word for a path to tests if a file of that name exists, looks for conftest.py beside it, and does not read tests/conftest.py, which brings the option. With the file absent, the normal state, it worked. The test of the list had everything in one folder and its own command line.

Change: one word, `--known-red=KNOWN-RED.txt`. No check was weakened.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	rm -rf .dev && python3 -m venv .dev && .dev/bin/pip -q install -e '.[dev]' && touch $@
 
 test: $(READY)
-	$(DEV)/python -m pytest --known-red KNOWN-RED.txt
+	$(DEV)/python -m pytest --known-red=KNOWN-RED.txt
 
 lint: $(READY)
 	$(DEV)/ruff check . && $(DEV)/ruff format --check . && PATH=$(DEV):$$PATH $(DEV)/mypy
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -9,30 +10,44 @@
 import pytest
 
 TESTS = "def test_good(): pass\ndef test_bad(): assert False\ndef test_worse(): assert False\n"
-BAD, WORSE = "test_it.py::test_bad | it is wrong | 27", "test_it.py::test_worse | it is wrong, too | 27"
+BAD, WORSE = (
+    "tests/test_it.py::test_bad | it is wrong | 27",
+    "tests/test_it.py::test_worse | it is wrong, too | 27",
+)
 
 
 @pytest.mark.parametrize(
     ("lines", "code", "said"),
     [
         ([BAD, WORSE], 0, f"known red: {BAD}"),
-        ([BAD], 1, "FAILED test_it.py::test_worse"),
+        ([BAD], 1, "FAILED tests/test_it.py::test_worse"),
         ([], 1, "2 failed, 1 passed"),
-        ([BAD, WORSE, "test_it.py::test_good | it was wrong | 27"], 1, "FAILED test_it.py::test_good"),
-        ([BAD, WORSE, "test_it.py::test_gone | it was wrong | 27"], 4, "KNOWN-RED.txt:3: there is no test"),
+        (
+            [BAD, WORSE, "tests/test_it.py::test_good | it was wrong | 27"],
+            1,
+            "FAILED tests/test_it.py::test_good",
+        ),
+        (
+            [BAD, WORSE, "tests/test_it.py::test_gone | it was wrong | 27"],
+            4,
+            "KNOWN-RED.txt:3: there is no test",
+        ),
         ([BAD, WORSE, BAD, WORSE], 4, "lists 4 tests, 3 at most"),
-        ([BAD, "test_it.py::test_worse"], 4, "KNOWN-RED.txt:2: want 'test | cause | issue'"),
+        ([BAD, "tests/test_it.py::test_worse"], 4, "KNOWN-RED.txt:2: want 'test | cause | issue'"),
     ],
 )
 def test_only_listed_tests_may_fail_and_they_have_to(
     tmp_path: Path, lines: list[str], code: int, said: str
 ) -> None:
-    (tmp_path / "conftest.py").write_text((Path(__file__).parent / "conftest.py").read_text())
-    (tmp_path / "test_it.py").write_text(TESTS)
+    # As in the repository: the list at the root, the tests and what reads the list in a folder.
+    (tmp_path / "pyproject.toml").write_text('[tool.pytest.ini_options]\ntestpaths = ["tests"]\n')
+    (tmp_path / "tests").mkdir()
+    (tmp_path / "tests" / "conftest.py").write_text((Path(__file__).parent / "conftest.py").read_text())
+    (tmp_path / "tests" / "test_it.py").write_text(TESTS)
     if lines:
         (tmp_path / "KNOWN-RED.txt").write_text("\n".join(lines) + "\n")
-    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "--known-red", "KNOWN-RED.txt"]
-    ran = subprocess.run(
-        [*command, f"--rootdir={tmp_path}"], cwd=tmp_path, capture_output=True, text=True, check=False
-    )
+    recipe = re.search(r"-m pytest (.*)", (Path(__file__).parent.parent / "Makefile").read_text())
+    assert recipe is not None
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", *recipe[1].split()]
+    ran = subprocess.run(command, cwd=tmp_path, capture_output=True, text=True, check=False)
     assert ran.returncode == code and said in ran.stdout + ran.stderr, ran.stdout + ran.stderr
