The front's intake is one explicit state: open, last, closed

Two flags (`draining`, `turns_away`) stood for three states, of which one combination meant nothing. Now `Intake`: calls are taken and connections kept; taken, and each answer ends its connection; told to go elsewhere. No behaviour changes; the tests of wire, of the program and of gateways that share an address pass.

--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -20,7 +20,7 @@
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
 from lockspoke.memory.registry import Registry, RegistryUpdate
-from lockspoke.wire.clients import ClientFront
+from lockspoke.wire.clients import ClientFront, Intake
 from lockspoke.wire.http1 import HttpError
 from lockspoke.wire.operator_api import Ask, OperatorCall
 from lockspoke.wire.operators import MOST, OperatorFront
@@ -160,7 +160,8 @@
             case Ask.OUT_OF_SERVICE | Ask.IN_SERVICE:
                 if self.phase in (Phase.DRAINING, Phase.TURNING_AWAY):
                     raise HttpError(409, "the gateway is stopping")
-                self.out_of_service = self.clients.draining = call.ask is Ask.OUT_OF_SERVICE
+                self.out_of_service = call.ask is Ask.OUT_OF_SERVICE
+                self.clients.intake = Intake.LAST if self.out_of_service else Intake.OPEN
         log.info("operator_call", asked=call.ask.name.lower(), worker=call.uid)
         return "done"
 
@@ -270,7 +271,7 @@
     async def _drain(self) -> None:
         """Answer all that was taken, and all that comes while clients still come here."""
         self._enter(Phase.DRAINING)
-        self.clients.draining = True
+        self.clients.intake = Intake.LAST
         ending = [asyncio.ensure_future(part.drain()) for part in self.parts]
         listener, loop = self.clients.listener, asyncio.get_running_loop()
         began = loop.time()
@@ -301,7 +302,7 @@
         """Take no more calls: connections that clients still have here lead on to other gateways."""
         if self.phase is Phase.DRAINING:
             self._enter(Phase.TURNING_AWAY)
-            self.clients.turns_away = True
+            self.clients.intake = Intake.CLOSED
 
 
 def give_back() -> None:
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -48,6 +48,14 @@
 STREAM_HEADERS = {"Content-Type": "text/event-stream", "Cache-Control": "no-store"}
 
 
+class Intake(Enum):
+    """What the front does with a call that comes now."""
+
+    OPEN = "open"  # taken; its connection is kept for the next
+    LAST = "last"  # taken; its connection ends with the answer
+    CLOSED = "closed"  # told to go elsewhere: it could not be answered whole
+
+
 class ClientFront:
     """Client connections of the platform's port."""
 
@@ -62,8 +70,7 @@
     ) -> None:
         self.core = core
         self.ready = ready
-        self.draining = False
-        self.turns_away = False  # what comes now could not be answered whole: it is told to go elsewhere
+        self.intake = Intake.OPEN
         self.held_bytes = 0
         self.open_ids: set[str] = set()  # of calls that are owed an answer
         self.listener = Listener(lambda stream: ClientConnection(self, stream), most)
@@ -234,7 +241,7 @@
             self.leaving = True
             self.whole(request, 503, "the address has moved", {"Retry-After": _seconds(MOVED_RETRY)})
             return
-        if self.front.turns_away:
+        if self.front.intake is Intake.CLOSED:
             self.whole(request, 503, "stopping", {"Retry-After": _seconds(MOVED_RETRY)})
             return
         fields = decode_call(head.headers)
@@ -293,7 +300,7 @@
 
     def keeps(self, request: Request) -> bool:
         """Whether the connection goes on after the answer."""
-        return request.head.keep_alive and not self.front.draining and not self.leaving
+        return request.head.keep_alive and self.front.intake is Intake.OPEN and not self.leaving
 
     def answered(self, keep: bool) -> None:
         """The answer is written: on to the next request, or close."""
--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -13,7 +13,7 @@
 from hillridge.interface import Effect, Outcome, RequestClass
 from lockspoke.memory.registry import Entry
 from lockspoke.wire import workers as worker_side
-from lockspoke.wire.clients import LINGER, ClientConnection
+from lockspoke.wire.clients import LINGER, ClientConnection, Intake
 from lockspoke.wire.listener import Outbox
 from tests.peers import Gateway, Line, Peer
 from tests.standins import EVENTS, HEAD, TAIL, call_bytes, chunk, until
@@ -84,7 +84,7 @@
 
 async def slow_stream(gateway: Gateway, peer: Peer) -> tuple[Line, Line]:
     """A stream to a client that takes next to nothing, of a gateway that has been told to stop."""
-    gateway.front.draining = True
+    gateway.front.intake = Intake.LAST
     client = await gateway.client(SO_RCVBUF=4096)
     client.send(call_bytes(1))
     worker = await peer.accept()
@@ -286,7 +286,7 @@
 
     async def test(gateway: Gateway, peer: Peer) -> None:
         client = await rested(gateway)
-        gateway.front.draining = True
+        gateway.front.intake = Intake.LAST
         client.send(UP + call_bytes(2))
         assert (await client.rest()).count(b"HTTP/1.1") == 1
         assert not gateway.core.totals["calls"]
