--- a/tests/lifecycle/test_program.py
+++ b/tests/lifecycle/test_program.py
@@ -315,12 +315,14 @@
         )  # found before the library's, in the middle of the imports
         program = Program(env={"PYTHONPATH": folder, "GATE": str(gate)})
         starting = asyncio.ensure_future(program.__aenter__())
-        end = await opened(gate)
-        program.process.send_signal(signal.SIGHUP)
-        end.close()
-        await starting
-        await until(lambda: program.log("reloaded") is not None)
-        await program.__aexit__()
+        try:
+            end = await opened(gate)
+            program.process.send_signal(signal.SIGHUP)
+            end.close()
+            await starting
+            await until(lambda: program.log("reloaded") is not None)
+        finally:
+            await program.__aexit__()
 
 
 @run
@@ -334,16 +336,18 @@
         starting = asyncio.ensure_future(program.__aenter__())
         await until(lambda: hasattr(program, "process"))
         signal.signal(signal.SIGHUP, before)
-        end = await opened(program.config)
-        end.write(json.dumps(program.raw_config))
-        newer = program.config.with_name("newer.json")
-        newer.write_text(json.dumps(program.raw_config | {"discovery": f"127.0.0.1:{moved.port}"}))
-        newer.replace(program.config)
-        program.process.send_signal(signal.SIGHUP)
-        end.close()  # only now the program has read the older one
-        await starting
-        await until(lambda: program.log("reloaded", discovery_moved=True) is not None)
-        await program.__aexit__()
+        try:
+            end = await opened(program.config)
+            end.write(json.dumps(program.raw_config))
+            newer = program.config.with_name("newer.json")
+            newer.write_text(json.dumps(program.raw_config | {"discovery": f"127.0.0.1:{moved.port}"}))
+            newer.replace(program.config)
+            program.process.send_signal(signal.SIGHUP)
+            end.close()  # only now the program has read the older one
+            await starting
+            await until(lambda: program.log("reloaded", discovery_moved=True) is not None)
+        finally:
+            await program.__aexit__()
 
 
 @run
