--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from . import interface as api
-from .records import Attempt, Kind, Replica, Request, tally
+from .records import Attempt, DecayingSum, Kind, Replica, Request, appraise, tally
 
 SECOND = 1_000_000_000
 FAILURE_THRESHOLD = 5  # the source's figure
@@ -34,8 +34,6 @@
 RISE_GATEWAYS = 16  # at most: with more the rise would take minutes
 SPARE = 0.65  # share of a replica's slots that may be taken, by its reports, before ceilings hold requests
 LEAST_BUSY = 0.1  # a report below that says no more than that there is much room
-NOISE = 0.02  # the least that one counts for where kinds are judged
-KIND_PRIOR = 1.5  # answers that a kind's listed size counts for beside those that have told how busy it was
 REPORT_LIVES = 4 * SECOND  # a report older than that says nothing any more
 MILD_PART = 0.5  # of the aim: later than that, a first token is a sign of a jam whatever a report says
 LATENESS_MEMORY = 8  # signs; most of these late: the trouble is shared, and the gateway as a whole holds back
@@ -43,7 +41,7 @@
 CEILING_CUT = 0.7  # what is left of a ceiling after a late first token, a time-out or 'full'
 HOME_SHARE = 0.5  # of a mean replica's requests: as many as one beginning may bring to one of its homes
 MOST_HOMES = 512  # beginnings whose order of homes is kept
-RECENT = 64  # requests by which a beginning's share of the traffic is judged, and answers for kinds
+RECENT = 64  # requests by which a beginning's share of the traffic is judged
 FULL_PAUSE = SECOND // 10  # before a full replica is asked again: at once, it would only refuse again
 COME_BACK = SECOND // 2  # the least that a refused client is told to wait: sooner, it meets the same jam
 REJECTIONS = 2  # replicas that find a request at fault, until it is: one alone may itself be at fault
@@ -126,7 +124,7 @@
         self.homes: dict[int, list[Replica]] = {}  # by beginning, see _homes
         self.requests: dict[int, Request] = {}
         self.waiting: dict[int, Request] = {}  # held until a replica has room
-        self.taken, self.taken_at = [0.0] * len(settings.tenants), 0  # work sent of late, against its share
+        self.taken = [DecayingSum(RATE_MEMORY) for _ in settings.tenants]  # work sent, against its share
         self.fleet = Replica(0, Breaker())  # all as one: own requests with no first token, their ceiling
         self.lateness = 0.0  # share of late signs among the latest ones
         self.last_winner: Replica | None = None
@@ -135,13 +133,13 @@
         self.armed = _NEVER  # when the timer that was asked for fires
         self.ask_at: int | None = None  # when to ask for the list
         self.ask_pause = self.began = self.warm_at = 0  # the first event came; all are warm from then on
-        self.rate, self.rate_at = 0.0, 0  # work that warm replicas got done, per second and replica
+        self.done = DecayingSum(RATE_MEMORY)  # work that the mean warm replica got done of late
         self.asked = ANSWER_TOKENS  # what the mean request asks of a replica that keeps nothing, in tokens
         self.out: list[api.Action] = []
 
     def reconfigure(self, settings: api.Settings) -> None:
         """New settings from now on; what is under way keeps the class it came with."""
-        self.settings, self.taken = settings, [0.0] * len(settings.tenants)
+        self.settings, self.taken = settings, [DecayingSum(RATE_MEMORY) for _ in settings.tenants]
 
     def handle(self, now: int, events: list[api.Event]) -> list[api.Action]:
         """Take what has come in at `now`; answer what is to be done at once."""
@@ -253,7 +251,8 @@
         # Guards a jam against itself: with one free place at a time prompts would be read anew everywhere.
         reading = min((self._work(request, replica) for replica in free), default=0.0)
         owner = min(arrived.tenant, len(self.taken) - 1)  # a reload may have left fewer
-        flood = bool(self.taken) and self.taken[owner] > FLOOD * sum(self.taken) / len(self.taken)
+        taken = [tenant.value(self.now) for tenant in self.taken]
+        flood = bool(taken) and taken[owner] > FLOOD * sum(taken) / len(taken)
         return late, flood, reading, -request.arrived_at
 
     def _send(self, number: int, request: Request) -> bool:
@@ -269,10 +268,9 @@
                 self._answer(number, request)
             return True
         if self.taken:
-            fade = 0.5 ** ((self.now - self.taken_at) / RATE_MEMORY)
-            self.taken, self.taken_at = [sum_ * fade for sum_ in self.taken], self.now
             owner = min(request.arrived.tenant, len(self.taken) - 1)
-            self.taken[owner] += self._work(request, replica) / max(self.settings.tenants[owner].share, 1e-9)
+            share = max(self.settings.tenants[owner].share, 1e-9)
+            self.taken[owner].add(self.now, self._work(request, replica) / share)
         attempt = Attempt(replica, self.now, self._work(request, replica), replica.unread(request.arrived))
         replica.take(request.arrived, attempt.work)
         self.fleet.in_flight += 1
@@ -337,7 +335,8 @@
             if self.now >= attempt.replica.warm_at:
                 # Kept prompts took no work: counted, they would let a cold replica without any be overrun.
                 unread = min(attempt.unread, request.arrived.prompt_tokens - event.kept_tokens)
-                self._note_done(max(0.0, unread) + ANSWER_TOKENS)
+                warm = sum(self.now >= replica.warm_at for replica in self.ready)
+                self.done.add(self.now, (max(0.0, unread) + ANSWER_TOKENS) / max(1, warm))
         elif event.outcome in COUNTED:
             weight = UNREACHED_WEIGHT if event.outcome in UNREACHED and not event.reused else 1
             breaker.failed(self.now, weight > 1 or self._may_open(), weight)
@@ -388,18 +387,10 @@
 
     def _saw(self, replica: Replica, busy: float) -> None:
         """What a kind's replicas can do: answers against slots taken. Of one alone too few answers come."""
-        replica.busy, replica.busy_at, kinds = busy, self.now, self.kinds.values()
-        replica.kind.seen += self.now >= replica.warm_at
-        replica.kind.busy += max(busy, NOISE) * (self.now >= replica.warm_at)
-        seen, listed = sum(kind.seen for kind in kinds), sum(kind.listed for kind in kinds)
-        mean = sum(kind.busy for kind in kinds) / max(seen, 1e-9)
-        for kind in kinds:
-            prior = KIND_PRIOR * kind.listed / listed
-            kind.mean = (kind.busy + prior * mean) / (kind.seen + prior)
-            pace = (kind.seen + prior) / kind.listed * listed / (seen + KIND_PRIOR)  # beside that of all
-            pace = 1.0 if self.settings.busy_field is None else pace  # lateness does not grow with it evenly
-            kind.factor = min(4.0, max(0.25, pace * mean / max(kind.mean, 1e-9)))
-            kind.seen, kind.busy = kind.seen * (1.0 - 1.0 / RECENT), kind.busy * (1.0 - 1.0 / RECENT)
+        replica.busy, replica.busy_at = busy, self.now
+        if self.now >= replica.warm_at:
+            replica.kind.reported(busy)
+        appraise(list(self.kinds.values()), self.settings.busy_field is not None)
 
     def _may_open(self) -> bool:
         """Guards against a shared slowdown that would open the whole fleet and refuse everything."""
@@ -444,16 +435,8 @@
 
     def _pace(self) -> float:
         """What all gateways together get done on a mean warm replica, as this one has seen it, a second."""
-        fade = 0.5 ** ((self.now - self.rate_at) / RATE_MEMORY)
-        seen = 1.0 - 0.5 ** max(0.1, (self.now - self.began) / RATE_MEMORY)  # a young rate is still low
-        return float(self.rate * self.settings.gateways * fade / seen)
-
-    def _note_done(self, work: float) -> None:
-        """Follow what the mean warm replica gets done: a jam sends the same work over and over."""
-        warm = sum(self.now >= replica.warm_at for replica in self.ready)
-        fade = 0.5 ** ((self.now - self.rate_at) / RATE_MEMORY)
-        self.rate = self.rate * fade + work / max(1, warm) * math.log(2) * SECOND / RATE_MEMORY
-        self.rate_at = self.now
+        seen = 1.0 - 0.5 ** max(0.1, (self.now - self.began) / RATE_MEMORY)  # a young sum is still low
+        return float(self.done.rate(self.now) * self.settings.gateways / seen)
 
     @staticmethod
     def _work(request: Request, replica: Replica) -> float:
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -9,7 +9,11 @@
 
 from . import interface as api
 
+SECOND = 1_000_000_000  # nanoseconds
 KEPT_KEYS = 2048  # sessions and prefixes remembered a replica; more than a replica's memory can hold
+KIND_MEMORY = 64  # reports over which a kind of machine is judged
+KIND_PRIOR = 1.5  # reports that a kind's listed size counts for beside those that have told how busy it was
+NOISE = 0.02  # the least that a report counts for where kinds are judged
 _MASK = (1 << 64) - 1
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
 
@@ -17,6 +21,27 @@
     from .policy import Breaker
 
 
+class DecayingSum:
+    """A sum that halves with each half-life: what has come of late weighs most."""
+
+    def __init__(self, half_life: int) -> None:
+        self.half_life = half_life
+        self._sum = 0.0
+        self._summed_at = 0
+
+    def add(self, now: int, amount: float) -> None:
+        """Add an amount that came at `now`."""
+        self._sum, self._summed_at = self.value(now) + amount, now
+
+    def value(self, now: int) -> float:
+        """What is left of the sum at `now`."""
+        return self._sum * float(0.5 ** ((now - self._summed_at) / self.half_life))
+
+    def rate(self, now: int) -> float:
+        """Amounts per second, if they have come at one pace for many half-lives."""
+        return self.value(now) * math.log(2) * SECOND / self.half_life
+
+
 class Kind:
     """One kind of machine, as answers from its replicas have shown it of late."""
 
@@ -27,6 +52,11 @@
         self.mean = 0.0  # share of slots taken at its replicas, as far as known
         self.factor = 1.0  # what its replicas can do, as a part of what their listed size promises
 
+    def reported(self, busy: float) -> None:
+        """One of its replicas, a warm one, has told what share of its slots is taken."""
+        self.seen += 1.0
+        self.busy += max(busy, NOISE)
+
 
 class Replica:
     """One replica as this balancer knows it."""
@@ -109,6 +139,23 @@
     return {number: kind for number, kind in kinds.items() if kind.listed}
 
 
+def appraise(kinds: list[Kind], by_slots: bool) -> None:
+    """Judge what the kinds' replicas can do: answers against slots taken. Of one alone too few answers come.
+
+    Where reports don't tell slots taken (`by_slots` false), what they stand for does not grow evenly with the
+    number of answers, and the kinds' paces are left out.
+    """
+    seen, listed = sum(kind.seen for kind in kinds), sum(kind.listed for kind in kinds)
+    mean = sum(kind.busy for kind in kinds) / max(seen, 1e-9)
+    for kind in kinds:
+        prior = KIND_PRIOR * kind.listed / listed
+        kind.mean = (kind.busy + prior * mean) / (kind.seen + prior)
+        pace = (kind.seen + prior) / kind.listed * listed / (seen + KIND_PRIOR)  # beside that of all
+        pace = pace if by_slots else 1.0
+        kind.factor = min(4.0, max(0.25, pace * mean / max(kind.mean, 1e-9)))
+        kind.seen, kind.busy = kind.seen * (1.0 - 1.0 / KIND_MEMORY), kind.busy * (1.0 - 1.0 / KIND_MEMORY)
+
+
 class Attempt:
     """One attempt of a request."""
 
