--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -480,18 +480,28 @@
             sample.append(self.last_winner)
         arrived = request.arrived
         if arrived.session or arrived.prefix:
-            # Two more: who holds most of the prompt, and a home of its beginning, of many if many ask for it.
-            key = arrived.prefix or arrived.session
-            share = self.recent.count(key) / max(1, len(self.recent))
-            count = 1 + int(share * len(closed) / HOME_SHARE)
-            drawn = self._draw([r for r in self._homes(key) if r in closed][:count])
-            for home in drawn:
-                home.kept.setdefault(arrived.prefix, arrived.prefix_tokens)  # others have sent it there
-            sample += [*drawn, min(closed, key=lambda replica: self._work(request, replica))]
+            # Also who is known to hold most of the prompt.
+            preferred = self._preferred(arrived, closed)
+            for replica in preferred:
+                replica.kept.setdefault(arrived.prefix, arrived.prefix_tokens)  # others have sent it there
+            sample += [*preferred, min(closed, key=lambda replica: self._work(request, replica))]
         mean_size = sum(replica.size for replica in closed) / len(closed)
         self.last_winner = min(sample, key=lambda replica: self._cost(replica, request, mean_size))
         return self.last_winner, False
 
+    def _preferred(self, arrived: api.Arrived, closed: list[Replica]) -> list[Replica]:
+        """Two homes of the request's beginning, of many if many ask for it: for a session always the same.
+
+        A session's next turn may come to any gateway, and each has to find the replica of the turn before.
+        """
+        key = arrived.prefix or arrived.session
+        share = self.recent.count(key) / max(ASKED_MEMORY, len(self.recent))
+        homes = [replica for replica in self._homes(key) if replica in closed]
+        homes = homes[: 1 + int(share * len(closed) / HOME_SHARE)]
+        if arrived.session:
+            return sorted(homes, key=lambda replica: replica.rank(arrived.session))[:SAMPLE]
+        return self._draw(homes)
+
     def _homes(self, key: int) -> list[Replica]:
         """The ready replicas in the order in which they should hold a beginning; ranking is dear, so kept."""
         order = self.homes.get(key)
--- a/tests/hillridge/test_pick.py
+++ b/tests/hillridge/test_pick.py
@@ -74,6 +74,41 @@
     assert len(homes) >= 6 and max(homes.values()) <= 16
 
 
+def test_the_turns_of_a_session_find_one_replica_from_any_gateway() -> None:
+    """Each turn came by another gateway and went to another of the beginning's homes: all was read anew."""
+    replicas, together = range(1, 92), 0
+    for session in range(1, 11):
+        turns = Counter[int]()
+        for gateway in range(12):
+            world = World(settings(gateways=200, index=gateway), replicas=replicas, seed=gateway)
+            for number in range(30):  # what each gateway has seen of the traffic is another thing
+                world.arrive(number, prefix=100 + (gateway + number) % 25, prefix_tokens=3000.0)
+                world.first_token(number)
+                world.end(number, api.Outcome.OK)
+            turn: dict[str, float] = {"session": session, "prefix": 100, "prefix_tokens": 3000.0}
+            turns.update(world.sent_to(world.arrive(999, prompt_tokens=9000.0 + 1000.0 * gateway, **turn)))
+        together += turns.most_common(1)[0][1]
+    assert together >= 0.7 * 10 * 12
+
+
+def test_the_sessions_of_a_beginning_are_spread_over_its_homes() -> None:
+    sent: Counter[int] = Counter()
+    for session in range(1, 201):
+        world = World(settings(gateways=200), replicas=range(1, 92), seed=session)
+        turn: dict[str, float] = {"session": session, "prefix": 100, "prefix_tokens": 3000.0}
+        sent.update(world.sent_to(world.arrive(1, prompt_tokens=9000.0, **turn)))
+    assert len(sent) >= 8 and max(sent.values()) <= 60
+
+
+def test_one_request_of_few_is_no_sign_that_many_ask_for_a_beginning() -> None:
+    """Of a young gateway's requests one is a great share: each beginning was read by the whole fleet."""
+    homes = Counter[int]()
+    for seed in range(200):
+        world = World(settings(gateways=200), replicas=range(1, 92), seed=seed)
+        homes.update(world.sent_to(world.arrive(1, prefix=100, prefix_tokens=3000.0, prompt_tokens=3500.0)))
+    assert len(homes) <= 15
+
+
 def test_idle_replicas_are_drawn_by_their_listed_size() -> None:
     """With many gateways own load is nought everywhere: only the list tells what the others have sent."""
     sent: Counter[int] = Counter()
