--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -10,10 +10,9 @@
 import math
 import random
 from collections import deque
-from enum import Enum
 
 from . import interface as api
-from .records import Attempt, DecayingSum, Kind, Replica, Request, appraise, tally
+from .records import Attempt, DecayingSum, Kind, PromptBands, Replica, Request, State, appraise, tally
 
 SECOND = 1_000_000_000
 FAILURE_THRESHOLD = 5  # the source's figure
@@ -47,6 +46,8 @@
 REJECTIONS = 2  # replicas that find a request at fault, until it is: one alone may itself be at fault
 STUCK = 4  # waiting requests that may fail to find a place before the rest of the line is left for later
 FLOOD = 1.5  # times the mean of what tenants were sent against their shares: past it they wait behind others
+FAIR_SHARE = 0.6  # of the share of all that is sent on: prompts whose length fares worse go before others
+BAND_MEMORY = 30 * SECOND  # over which that is judged: a burst of some seconds leaves the order as it is
 COLD_MARGIN = 0.5  # of the allowed pressure on a cold replica: work is only estimated
 FIRST_TURNS = 0.5  # requests a turn that one just started can surely take, whatever warm ones do
 STRIDE = 0.618  # of the gateways: how far on the next turn's first one is
@@ -60,14 +61,6 @@
 UNREACHED = (api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
 
 
-class State(Enum):
-    """The three states of a breaker."""
-
-    CLOSED = "closed"
-    OPEN = "open"
-    HALF_OPEN = "half-open"
-
-
 class Breaker:
     """Closed while a replica answers, open after failures in a row, half-open while it is tried again."""
 
@@ -126,6 +119,7 @@
         self.waiting: dict[int, Request] = {}  # held until a replica has room
         self.taken = [DecayingSum(RATE_MEMORY) for _ in settings.tenants]  # work sent, against its share
         self.fleet = Replica(0, Breaker())  # all as one: own requests with no first token, their ceiling
+        self.bands = PromptBands(BAND_MEMORY)
         self.lateness = 0.0  # share of late signs among the latest ones
         self.last_winner: Replica | None = None
         self.recent: deque[int] = deque(maxlen=RECENT)  # beginnings, or sessions, of the latest requests
@@ -229,7 +223,7 @@
         self.asked += (event.prompt_tokens + ANSWER_TOKENS - self.asked) / seen
 
     def _admit(self) -> None:
-        """Give what waits to replicas with room: in time before late, floods last, least reading first."""
+        """Give what waits to replicas with room: in time, no flood, fair by length, least reading."""
         if not self.waiting:
             return
         closed = [replica for replica in self.ready if replica.breaker.look(self.now) is State.CLOSED]
@@ -244,7 +238,7 @@
             if stuck < STUCK:
                 stuck += not self._send(number, self.waiting[number])
 
-    def _turn(self, request: Request, free: list[Replica]) -> tuple[bool, bool, float, int]:
+    def _turn(self, request: Request, free: list[Replica]) -> tuple[bool, bool, bool, float, int]:
         arrived = request.arrived
         # A client's later try has lost the aim of its first one: flagged, or with less time than the aim.
         late = arrived.client_retry or not self.now - request.arrived_at <= request.aim <= arrived.time_left
@@ -253,7 +247,9 @@
         owner = min(arrived.tenant, len(self.taken) - 1)  # a reload may have left fewer
         taken = [tenant.value(self.now) for tenant in self.taken]
         flood = bool(taken) and taken[owner] > FLOOD * sum(taken) / len(taken)
-        return late, flood, reading, -request.arrived_at
+        # Least reading first alone would leave the longest prompts behind for as long as an overload lasts.
+        fair = self.bands.share_sent(arrived.prompt_tokens) >= FAIR_SHARE * self.bands.share_sent()
+        return late, flood, fair, reading * fair, -request.arrived_at
 
     def _send(self, number: int, request: Request) -> bool:
         """Send the next attempt, or answer finally when no replica may take it; False if it has to wait."""
@@ -271,6 +267,8 @@
             owner = min(request.arrived.tenant, len(self.taken) - 1)
             share = max(self.settings.tenants[owner].share, 1e-9)
             self.taken[owner].add(self.now, self._work(request, replica) / share)
+        if not request.attempts:
+            self.bands.note(self.now, request.arrived.prompt_tokens, sent=True)
         attempt = Attempt(replica, self.now, self._work(request, replica), replica.unread(request.arrived))
         replica.take(request.arrived, attempt.work)
         self.fleet.in_flight += 1
@@ -285,6 +283,8 @@
         return True
 
     def _answer(self, number: int, request: Request) -> None:
+        if not request.attempts:
+            self.bands.note(self.now, request.arrived.prompt_tokens, sent=False)
         self.out.append(api.Fail(number) if request.ran else api.Refuse(number, self._come_back()))
         self._close(number, request)
 
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict, deque
+from collections import OrderedDict, defaultdict, deque
 from collections.abc import Iterable
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from . import interface as api
@@ -14,6 +15,9 @@
 KIND_MEMORY = 64  # reports over which a kind of machine is judged
 KIND_PRIOR = 1.5  # reports that a kind's listed size counts for beside those that have told how busy it was
 NOISE = 0.02  # the least that a report counts for where kinds are judged
+ALL = -1  # the band that holds every request
+MOST_HALF_LIVES = 300  # for which weights double, before they begin anew at one
+NEGLIGIBLE = 1e-9  # of a request
 _MASK = (1 << 64) - 1
 NEVER_RAN = (api.Outcome.FULL, api.Outcome.CONNECT_FAILED, api.Outcome.MOOT)
 
@@ -21,6 +25,14 @@
     from .policy import Breaker
 
 
+class State(Enum):
+    """The three states of a breaker."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
 class DecayingSum:
     """A sum that halves with each half-life: what has come of late weighs most."""
 
@@ -42,6 +54,47 @@
         return self.value(now) * math.log(2) * SECOND / self.half_life
 
 
+class PromptBands:
+    """How requests fared of late by the length of their prompts: each band is twice as long as the last.
+
+    Old ones count less by counting new ones for more: shares then need no arithmetic but a division.
+    """
+
+    def __init__(self, half_life: int) -> None:
+        self.half_life = half_life
+        self._since: int | None = None  # when the present weights begin at one
+        self._sent = defaultdict[int, float](float)
+        self._ended = defaultdict[int, float](float)
+
+    def note(self, now: int, prompt_tokens: float, sent: bool) -> None:
+        """One has been sent to a replica for the first time, or has ended without that."""
+        if self._since is None:
+            self._since = now
+        age = (now - self._since) / self.half_life
+        if age > MOST_HALF_LIVES:
+            self._fade(0.5**age)
+            self._since, age = now, 0.0
+        weight = 2.0**age
+        for band in (_band(prompt_tokens), ALL):
+            self._sent[band] += weight * sent
+            self._ended[band] += weight
+
+    def _fade(self, part: float) -> None:
+        """Bring all counts down to the weights that begin at one now; what is as good as nothing goes."""
+        kept = [band for band, count in self._ended.items() if count * part > NEGLIGIBLE]
+        self._sent = defaultdict(float, {band: self._sent[band] * part for band in kept})
+        self._ended = defaultdict(float, {band: self._ended[band] * part for band in kept})
+
+    def share_sent(self, prompt_tokens: float | None = None) -> float:
+        """The share that was sent of those with about this length, or of all; 1 where none is known."""
+        band = ALL if prompt_tokens is None else _band(prompt_tokens)
+        return self._sent[band] / self._ended[band] if band in self._ended else 1.0
+
+
+def _band(prompt_tokens: float) -> int:
+    return int(prompt_tokens).bit_length()
+
+
 class Kind:
     """One kind of machine, as answers from its replicas have shown it of late."""
 
--- /dev/null
+++ b/tests/hillridge/test_records.py
@@ -0,0 +1,52 @@
+"""What the balancer remembers, on its own."""
+
+from __future__ import annotations
+
+import pytest
+
+from hillridge.records import MOST_HALF_LIVES, DecayingSum, PromptBands
+from tests.hillridge.helpers import SECOND
+
+
+def test_a_decaying_sum_halves_with_each_half_life() -> None:
+    total = DecayingSum(10 * SECOND)
+    total.add(1_000 * SECOND, 8.0)
+    total.add(1_010 * SECOND, 1.0)
+    assert total.value(1_010 * SECOND) == pytest.approx(5.0)
+    assert total.value(1_030 * SECOND) == pytest.approx(1.25)
+
+
+def test_a_steady_pace_is_told_as_its_rate() -> None:
+    total = DecayingSum(10 * SECOND)
+    for second in range(200):
+        total.add(second * SECOND, 3.0)
+    assert total.rate(200 * SECOND) == pytest.approx(3.0, rel=0.05)
+
+
+def test_bands_tell_the_share_sent_by_length_and_of_all() -> None:
+    bands = PromptBands(30 * SECOND)
+    assert bands.share_sent() == bands.share_sent(900.0) == 1.0, "none is known"
+    for number in range(10):
+        bands.note(number, 900.0, sent=True)
+        bands.note(number, 9_000.0, sent=number < 2)
+    assert bands.share_sent(1_000.0) == 1.0, "of about the same length"
+    assert bands.share_sent(8_500.0) == pytest.approx(0.2)
+    assert bands.share_sent(100.0) == 1.0
+    assert bands.share_sent() == pytest.approx(0.6)
+
+
+@pytest.mark.parametrize("gap", [60 * SECOND, (MOST_HALF_LIVES + 1) * 30 * SECOND, 10**7 * SECOND])
+def test_bands_forget_what_is_long_past_however_long(gap: int) -> None:
+    bands = PromptBands(30 * SECOND)
+    for _ in range(8):
+        bands.note(SECOND, 900.0, sent=False)
+    for _ in range(8):
+        bands.note(SECOND + gap, 900.0, sent=True)
+    assert bands.share_sent(900.0) == pytest.approx(8 / (8 + 8 * 0.5 ** (gap / (30 * SECOND))))
+
+
+def test_bands_keep_their_shares_when_their_weights_begin_anew() -> None:
+    bands = PromptBands(30 * SECOND)
+    for second in range(0, 3 * MOST_HALF_LIVES * 30, 10):
+        bands.note(second * SECOND, 900.0, sent=second % 20 == 0)
+    assert bands.share_sent(900.0) == pytest.approx(0.5, abs=0.1)
