--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -54,7 +54,10 @@
 HEAVY = 2.0  # times the mean request: nothing heavier goes to a cold replica alone
 ASKED_MEMORY = 16  # requests over which the mean request is taken
 ASK_GAP = SECOND // 12  # between two gateways' calls for the list when all start at once
-ASK_AGAIN = SECOND // 2  # first pause after a failed call for the list; doubles up to half of `ask_every`
+ASK_AGAIN = SECOND // 2  # first pause after a failed call for the list; it doubles
+# After a failed call: 6 s after discovery could be reached a change counts as told, and of them a call may
+# take one to connect and 1.5 to be answered.
+LONGEST_UNASKED = 7 * SECOND // 2
 
 _NEVER = 1 << 80  # later than any clock
 COUNTED = (api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
@@ -206,9 +209,11 @@
         """When to ask for the list next: in turn at the start, spaced after failures, else not at all."""
         gap = min(ASK_GAP, self.settings.ask_every // (2 * self.settings.gateways))
         if kind is api.ListKind.FAILED:
-            self.ask_pause = min(max(2 * self.ask_pause, ASK_AGAIN), self.settings.ask_every // 4)
             # All gateways may have failed together; spread, so that they do not call together again.
-            spread = max(self.ask_pause, gap * self.settings.gateways)
+            spread = min(gap * self.settings.gateways, LONGEST_UNASKED - ASK_AGAIN)
+            longest = min(self.settings.ask_every // 4, LONGEST_UNASKED - spread)
+            self.ask_pause = min(max(2 * self.ask_pause, ASK_AGAIN), longest)
+            spread = max(spread, min(self.ask_pause, LONGEST_UNASKED - self.ask_pause))
             self.ask_at = self.now + self.ask_pause + int(self.random.random() * spread)
         else:  # Many start at once in a release: each calls in its place in the line.
             place = gap * (self.settings.index % self.settings.gateways)
--- a/tests/hillridge/test_pick.py
+++ b/tests/hillridge/test_pick.py
@@ -6,10 +6,14 @@
 from collections import Counter
 from collections.abc import Iterable
 
+import pytest
+
 from hillridge import interface as api
 from hillridge.policy import FULL_PAUSE, State
 from tests.hillridge.helpers import MS, SECOND, Call, World, ready, settings
 
+CONNECT_AND_ANSWER = 2_500 * MS  # the longest that a call may take whose answer has to be there in time
+
 
 def test_work_follows_listed_size() -> None:
     world = World(replicas=())
@@ -344,6 +348,22 @@
     assert max(again) <= 5 * SECOND
 
 
+@pytest.mark.parametrize("gateways", [1, 5, 25, 200, 1024])
+@pytest.mark.parametrize("ask_every", [2 * SECOND, 10 * SECOND, 60 * SECOND])
+def test_however_often_calls_have_failed_the_next_is_read_before_changes_count_as_told(
+    gateways: int, ask_every: int
+) -> None:
+    """Pauses grew to 7.5 s with many gateways, and 6 s after discovery is back all it has counts as told."""
+    for index in range(0, gateways, max(1, gateways // 12)):
+        given = settings(ask_for_list=True, gateways=gateways, index=index, ask_every=ask_every)
+        world = World(given, seed=index)
+        world.pass_time(5 * SECOND)
+        for _ in range(8):
+            world.log.clear()
+            world.list(api.ListKind.FAILED, ())
+            assert until_it_asks(world) <= 6 * SECOND - CONNECT_AND_ANSWER
+
+
 def test_an_unanswered_call_for_the_list_is_repeated() -> None:
     world = World(settings(ask_for_list=True))
     world.log.clear()
