--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -55,9 +55,7 @@
 ASKED_MEMORY = 16  # requests over which the mean request is taken
 ASK_GAP = SECOND // 12  # between two gateways' calls for the list when all start at once
 ASK_AGAIN = SECOND // 2  # first pause after a failed call for the list; it doubles
-# After a failed call: 6 s after discovery could be reached a change counts as told, and of them a call may
-# take one to connect and 1.5 to be answered.
-LONGEST_UNASKED = 7 * SECOND // 2
+LONGEST_UNASKED = 7 * SECOND // 2  # 6 s after which all counts as told, less 2.5 to connect and be answered
 
 _NEVER = 1 << 80  # later than any clock
 COUNTED = (api.Outcome.ERROR, api.Outcome.TIMEOUT, api.Outcome.CONNECT_FAILED, api.Outcome.RESET)
@@ -495,17 +493,17 @@
         return self.last_winner, False
 
     def _preferred(self, arrived: api.Arrived, closed: list[Replica]) -> list[Replica]:
-        """Two homes of the request's beginning, of many if many ask for it: for a session always the same.
+        """Two homes of the request's beginning, of many if many ask for it.
 
-        A session's next turn may come to any gateway, and each has to find the replica of the turn before.
+        A session's are the same at all gateways of a zone: its next turn may come to any of them.
         """
         key = arrived.prefix or arrived.session
         share = self.recent.count(key) / max(ASKED_MEMORY, len(self.recent))
         homes = [replica for replica in self._homes(key) if replica in closed]
         homes = homes[: 1 + int(share * len(closed) / HOME_SHARE)]
-        if arrived.session:
-            return sorted(homes, key=lambda replica: replica.rank(arrived.session))[:SAMPLE]
-        return self._draw(homes)
+        if not arrived.session:
+            return self._draw(homes)
+        return sorted(homes, key=lambda r: r.rank(arrived.session) / self._nearness(r))[:SAMPLE]
 
     def _homes(self, key: int) -> list[Replica]:
         """The ready replicas in the order in which they should hold a beginning; ranking is dear, so kept."""
@@ -516,10 +514,12 @@
             order = self.homes[key] = sorted(self.ready, key=lambda replica: replica.rank(key))
         return order
 
+    def _nearness(self, replica: Replica) -> float:
+        return 1.0 + NEAR * self.settings.cross_zone_price * (replica.zone == self.settings.zone)
+
     def _draw(self, replicas: list[Replica]) -> list[Replica]:
         # By size: weights that sink with the load move a part of the traffic, never all of it.
-        own, near = self.settings.zone, 1.0 + NEAR * self.settings.cross_zone_price
-        weights = [r.size * near if r.zone == own else r.size for r in replicas]
+        weights = [replica.size * self._nearness(replica) for replica in replicas]
         return self.random.choices(replicas, weights, k=SAMPLE)
 
     def _cost(self, replica: Replica, request: Request, mean_size: float) -> float:
--- a/tests/hillridge/test_pick.py
+++ b/tests/hillridge/test_pick.py
@@ -104,6 +104,18 @@
     assert len(sent) >= 8 and max(sent.values()) <= 60
 
 
+def test_a_session_whose_crossing_is_priced_stays_in_its_clients_zone() -> None:
+    """Its first home elsewhere, each turn went there or to what was near by the load of the moment."""
+    near = 0
+    for session in range(1, 201):
+        world = World(settings(gateways=200, cross_zone_price=0.08, zone=0), replicas=(), seed=session)
+        entries = tuple(api.ListEntry(number, zone=number % 3) for number in range(1, 91))
+        world.list(api.ListKind.FULL, entries)
+        turn: dict[str, float] = {"session": session, "prefix": 1000 + session, "prefix_tokens": 9000.0}
+        near += world.sent_to(world.arrive(1, prompt_tokens=15_000.0, **turn))[0] % 3 == 0
+    assert near >= 145
+
+
 def test_one_request_of_few_is_no_sign_that_many_ask_for_a_beginning() -> None:
     """Of a young gateway's requests one is a great share: each beginning was read by the whole fleet."""
     homes = Counter[int]()
