--- a/hillridge/interface.py
+++ b/hillridge/interface.py
@@ -125,7 +125,7 @@
     time_left: int  # until the client gives this try up
     request_class: int = 0
     tenant: int = 0
-    session: int = 0  # requests of one session share what a replica kept; 0: none
+    session: int = 0  # requests of one session share what a replica has cached; 0: none
     prefix: int = 0  # the shared beginning of the prompt; 0: none
     prompt_tokens: float = 0.0
     prefix_tokens: float = 0.0
@@ -154,7 +154,7 @@
     outcome: Outcome
     elapsed: int
     closed: bool  # the request has its final answer, by this outcome or before it
-    kept_tokens: int = 0
+    cached_tokens: int = 0
     report: tuple[float, ...] = ()
     reused: bool = False  # on a connection kept from before: that it broke says little of the replica
 
--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -28,19 +28,19 @@
 READING = 4.0  # an unread token here takes room from all later ones
 CROSSING_TOKENS = 200_000.0  # times the price of crossing zones: the load it is worth to stay at home
 NEAR = 20.0  # times the price of crossing zones: how much more often a replica at home is drawn
-LATE_PART = 0.2  # of the aim, twice for a prompt not kept: later, and the replica holds too much
+LATE_PART = 0.2  # of the aim, twice for a prompt not cached: later, and the replica holds too much
 RISE = 0.75  # over the number of gateways, by a first token in time: answers show their weight late
 RISE_GATEWAYS = 16  # at most: with more the rise would take minutes
-SPARE = 0.65  # share of a replica's slots that may be taken, by its reports, before ceilings hold requests
+SPARE = 0.65  # share of a replica's slots that may be taken, by its reports, before limits hold requests
 LEAST_BUSY = 0.1  # a report below that says no more than that there is much room
 REPORT_LIVES = 4 * SECOND  # a report older than that says nothing any more
 MILD_PART = 0.5  # of the aim: later than that, a first token is a sign of a jam whatever a report says
 LATENESS_MEMORY = 8  # signs; most of these late: the trouble is shared, and the gateway as a whole holds back
-FIRST_CEILING = 2.0  # of a replica that has started or was open: as many as its trials; and all's least
-CEILING_CUT = 0.7  # what is left of a ceiling after a late first token, a time-out or 'full'
-HOME_SHARE = 0.5  # of a mean replica's requests: as many as one beginning may bring to one of its homes
-MOST_HOMES = 512  # beginnings whose order of homes is kept
-RECENT = 64  # requests by which a beginning's share of the traffic is judged
+FIRST_LIMIT = 2.0  # of a replica that has started or was open: as many as its trials; and all's least
+LIMIT_CUT = 0.7  # what is left of a concurrency limit after a late first token, a time-out or 'full'
+PREFERRED_SHARE = 0.5  # of a mean replica's requests: as many as one prefix may bring to one replica
+MOST_RANKINGS = 512  # prefixes whose ranking of the replicas is kept
+RECENT = 64  # requests by which a prefix's share of the traffic is judged
 FULL_PAUSE = SECOND // 10  # before a full replica is asked again: at once, it would only refuse again
 COME_BACK = SECOND // 2  # the least that a refused client is told to wait: sooner, it meets the same jam
 REJECTIONS = 2  # replicas that find a request at fault, until it is: one alone may itself be at fault
@@ -115,15 +115,15 @@
         self.replicas: dict[int, Replica] = {}
         self.ready: list[Replica] = []  # of them, those that the list calls ready
         self.kinds: dict[int, Kind] = {}
-        self.homes: dict[int, list[Replica]] = {}  # by beginning, see _homes
+        self.rankings: dict[int, list[Replica]] = {}  # by prefix, see _ranking
         self.requests: dict[int, Request] = {}
         self.waiting: dict[int, Request] = {}  # held until a replica has room
         self.taken = [DecayingSum(RATE_MEMORY) for _ in settings.tenants]  # work sent, against its share
-        self.fleet = Replica(0, Breaker())  # all as one: own requests with no first token, their ceiling
+        self.fleet = Replica(0, Breaker())  # all as one: own requests with no first token, their limit
         self.bands = PromptBands(BAND_MEMORY)
         self.lateness = 0.0  # share of late signs among the latest ones
         self.last_winner: Replica | None = None
-        self.recent: deque[int] = deque(maxlen=RECENT)  # beginnings, or sessions, of the latest requests
+        self.recent: deque[int] = deque(maxlen=RECENT)  # prefixes, or sessions, of the latest requests
         self.due: list[tuple[int, int]] = []  # (deadline, request)
         self.armed = _NEVER  # when the timer that was asked for fires
         self.ask_at: int | None = None  # when to ask for the list
@@ -187,8 +187,8 @@
                 # A process that has begun anew owes nothing for the failures of the one before it.
                 replica.started_at, replica.breaker = entry.started_at, Breaker()
                 replica.warm_at = entry.started_at + self.settings.warm_up
-                replica.kept.clear()
-                replica.ceiling = FIRST_CEILING if self.now < replica.warm_at else math.inf
+                replica.cached.clear()
+                replica.limit = FIRST_LIMIT if self.now < replica.warm_at else math.inf
             replica.state, replica.told_at = entry.state, self.now
             replica.zone, replica.cell, replica.listed = entry.zone, entry.cell, max(entry.weight, 1e-9)
             replica.nominal = max(replica.nominal, replica.listed)
@@ -199,7 +199,7 @@
             if replica.in_flight == 0 and replica.told_at < since:
                 del self.replicas[replica.number]
         self.ready = [r for r in self.replicas.values() if r.state is api.ReplicaState.READY]
-        self.homes.clear()
+        self.rankings.clear()
         self.kinds = tally(self.kinds, self.ready)
         self.warm_at = max((r.warm_at for r in self.ready), default=0)
 
@@ -337,7 +337,7 @@
             breaker.succeeded(attempt)
             if self.now >= attempt.replica.warm_at:
                 # Kept prompts took no work: counted, they would let a cold replica without any be overrun.
-                unread = min(attempt.unread, request.arrived.prompt_tokens - event.kept_tokens)
+                unread = min(attempt.unread, request.arrived.prompt_tokens - event.cached_tokens)
                 warm = sum(self.now >= replica.warm_at for replica in self.ready)
                 self.done.add(self.now, (max(0.0, unread) + ANSWER_TOKENS) / max(1, warm))
         elif event.outcome in COUNTED:
@@ -345,7 +345,7 @@
             breaker.failed(self.now, weight > 1 or self._may_open(), weight)
             if before is State.CLOSED and breaker.state is State.OPEN:
                 # It comes back to a few requests and earns more: all gateways find it empty at once.
-                attempt.replica.ceiling = FIRST_CEILING
+                attempt.replica.limit = FIRST_LIMIT
                 self.out.append(api.Log(f"breaker open: replica {event.replica}, last {event.outcome.name}"))
         breaker.released(attempt)
         if event.closed or not request.open:
@@ -356,7 +356,7 @@
             self.waiting[event.request] = request
 
     def _learn(self, attempt: Attempt, part: float) -> None:
-        """Move the ceilings: what is sent past the pace of a replica, or of all, makes all of it late."""
+        """Move the limits: what is sent past the pace of a replica, or of all, makes all of it late."""
         # 'Full' is one replica's alone: its quick refusals would outnumber all other signs.
         shared, replica = attempt.outcome is not api.Outcome.FULL, attempt.replica
         roomy = self.now - replica.busy_at < REPORT_LIVES and replica.in_flight <= replica.floor
@@ -365,11 +365,11 @@
         self.lateness += ((part > LATE_PART) - self.lateness) / LATENESS_MEMORY * shared
         for holder in (attempt.replica, self.fleet)[: 1 + shared]:
             if part <= LATE_PART:
-                if holder.in_flight + 1 >= holder.ceiling:
-                    holder.ceiling += RISE / min(self.settings.gateways, RISE_GATEWAYS)
+                if holder.in_flight + 1 >= holder.limit:
+                    holder.limit += RISE / min(self.settings.gateways, RISE_GATEWAYS)
             elif attempt.sent_at >= holder.cut_at and (holder is not self.fleet or self.lateness > 0.5):
-                holder.ceiling = CEILING_CUT * min(holder.ceiling, holder.in_flight)
-                holder.ceiling = max(FIRST_CEILING if holder is self.fleet else 1.0, holder.ceiling)
+                holder.limit = LIMIT_CUT * min(holder.limit, holder.in_flight)
+                holder.limit = max(FIRST_LIMIT if holder is self.fleet else 1.0, holder.limit)
                 holder.cut_at = self.now
 
     def _is_full(self, replica: Replica, kind: int, elapsed: int) -> bool:
@@ -385,7 +385,7 @@
         replica.floor = max(1, replica.least) * SPARE / max(busy, LEAST_BUSY)  # that there is room for
         replica.least = replica.in_flight
         if self.now - replica.cut_at > REPORT_LIVES:
-            replica.ceiling = max(replica.ceiling, replica.floor)
+            replica.limit = max(replica.limit, replica.floor)
         self._saw(replica, busy)
 
     def _saw(self, replica: Replica, busy: float) -> None:
@@ -443,11 +443,11 @@
 
     @staticmethod
     def _work(request: Request, replica: Replica) -> float:
-        """What the request asks of this replica, in tokens: what it has not kept, and the answer."""
+        """What the request asks of this replica, in tokens: what it has not cached, and the answer."""
         return replica.unread(request.arrived) + ANSWER_TOKENS
 
     def _has_room(self, replica: Replica) -> bool:
-        return replica.in_flight < replica.ceiling and self.now >= replica.full_until
+        return replica.in_flight < replica.limit and self.now >= replica.full_until
 
     def _pick(self, request: Request) -> tuple[Replica | None, bool]:
         """A half-open replica without a trial, else the least loaded of a sample; and whether any is busy."""
@@ -486,32 +486,32 @@
             # Also who is known to hold most of the prompt.
             preferred = self._preferred(arrived, closed)
             for replica in preferred:
-                replica.kept.setdefault(arrived.prefix, arrived.prefix_tokens)  # others have sent it there
+                replica.cached.setdefault(arrived.prefix, arrived.prefix_tokens)  # others have sent it there
             sample += [*preferred, min(closed, key=lambda replica: self._work(request, replica))]
         mean_size = sum(replica.size for replica in closed) / len(closed)
         self.last_winner = min(sample, key=lambda replica: self._cost(replica, request, mean_size))
         return self.last_winner, False
 
     def _preferred(self, arrived: api.Arrived, closed: list[Replica]) -> list[Replica]:
-        """Two homes of the request's beginning, of many if many ask for it.
+        """Two of the replicas that hold the request's prefix, of many if many ask for it.
 
         A session's are the same at all gateways of a zone: its next turn may come to any of them.
         """
         key = arrived.prefix or arrived.session
         share = self.recent.count(key) / max(ASKED_MEMORY, len(self.recent))
-        homes = [replica for replica in self._homes(key) if replica in closed]
-        homes = homes[: 1 + int(share * len(closed) / HOME_SHARE)]
+        holders = [replica for replica in self._ranking(key) if replica in closed]
+        holders = holders[: 1 + int(share * len(closed) / PREFERRED_SHARE)]
         if not arrived.session:
-            return self._draw(homes)
-        return sorted(homes, key=lambda r: r.rank(arrived.session) / self._nearness(r))[:SAMPLE]
+            return self._draw(holders)
+        return sorted(holders, key=lambda r: r.rank(arrived.session) / self._nearness(r))[:SAMPLE]
 
-    def _homes(self, key: int) -> list[Replica]:
-        """The ready replicas in the order in which they should hold a beginning; ranking is dear, so kept."""
-        order = self.homes.get(key)
+    def _ranking(self, key: int) -> list[Replica]:
+        """The ready replicas in the order in which they should hold a prefix; ranking is dear, so kept."""
+        order = self.rankings.get(key)
         if order is None:
-            if len(self.homes) >= MOST_HOMES:
-                self.homes.clear()
-            order = self.homes[key] = sorted(self.ready, key=lambda replica: replica.rank(key))
+            if len(self.rankings) >= MOST_RANKINGS:
+                self.rankings.clear()
+            order = self.rankings[key] = sorted(self.ready, key=lambda replica: replica.rank(key))
         return order
 
     def _nearness(self, replica: Replica) -> float:
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -11,7 +11,7 @@
 from . import interface as api
 
 SECOND = 1_000_000_000  # nanoseconds
-KEPT_KEYS = 2048  # sessions and prefixes remembered a replica; more than a replica's memory can hold
+CACHED_KEYS = 2048  # sessions and prefixes remembered a replica; more than a replica's memory can hold
 KIND_MEMORY = 64  # reports over which a kind of machine is judged
 KIND_PRIOR = 1.5  # reports that a kind's listed size counts for beside those that have told how busy it was
 NOISE = 0.02  # the least that a report counts for where kinds are judged
@@ -130,12 +130,12 @@
         self.told_at = 0  # when the list last spoke of it
         self.in_flight = 0
         self.work = 0.0  # own tokens in flight: prompts to be read, and answers
-        self.kept: OrderedDict[int, float] = OrderedDict()  # prompt tokens by session or prefix, oldest first
+        self.cached: OrderedDict[int, float] = OrderedDict()  # prompt tokens by session or prefix
         self.cold_sends: deque[tuple[int, float]] = deque()  # (when, work) within the warm-up budget's window
         self.turn = -1  # the latest turn in its warm-up, and the luck drawn for it
         self.luck = 0.0
-        self.ceiling = math.inf  # of own requests in flight; none until the first sign of a jam
-        self.cut_at = 0  # when the ceiling was last lowered
+        self.limit = math.inf  # of own requests in flight; none until the first sign of a jam
+        self.cut_at = 0  # when the concurrency limit was last lowered
         self.floor = 0.0  # own requests that its last report has room for
         self.least = 0  # the fewest own requests in flight since that report: it may speak of any time since
         self.turned: dict[int, int] = {}  # by class, how often in a row it has turned requests away
@@ -157,11 +157,11 @@
 
     def unread(self, arrived: api.Arrived) -> float:
         """Prompt tokens that this replica would have to read, as far as own sends tell."""
-        begun = self.kept.get(arrived.prefix, 0.0)
-        if begun > arrived.prefix_tokens:
-            begun = arrived.prefix_tokens
-        kept = self.kept.get(arrived.session, 0.0)
-        left = arrived.prompt_tokens - (kept if kept > begun else begun)
+        prefix = self.cached.get(arrived.prefix, 0.0)
+        if prefix > arrived.prefix_tokens:
+            prefix = arrived.prefix_tokens
+        session = self.cached.get(arrived.session, 0.0)
+        left = arrived.prompt_tokens - (session if session > prefix else prefix)
         return left if left > 0.0 else 0.0
 
     def take(self, arrived: api.Arrived, work: float) -> None:
@@ -171,13 +171,13 @@
         both = ((arrived.prefix, arrived.prefix_tokens), (arrived.session, arrived.prompt_tokens))
         for key, tokens in both:
             if key:
-                self.kept[key] = tokens
-                self.kept.move_to_end(key)
-        while len(self.kept) > KEPT_KEYS:
-            self.kept.popitem(last=False)
+                self.cached[key] = tokens
+                self.cached.move_to_end(key)
+        while len(self.cached) > CACHED_KEYS:
+            self.cached.popitem(last=False)
 
     def rank(self, key: int) -> float:
-        """Rendezvous hashing: every gateway finds the same home for a key without a word to the others."""
+        """Rendezvous hashing: every gateway finds the same replica for a key without a word to the others."""
         mixed = ((key ^ (self.number * 0x9E3779B97F4A7C15)) * 0xD6E8FEB86659FD93) & _MASK
         mixed = ((mixed ^ (mixed >> 32)) * 0xD6E8FEB86659FD93) & _MASK
         return -math.log(((mixed >> 11) + 1) / (1 << 53)) / self.nominal
--- a/hillridge/wire.py
+++ b/hillridge/wire.py
@@ -275,9 +275,9 @@
 
 
 def _resolved(reader: _Reader) -> AttemptEnded:
-    req, lag, kept, replica, attempt, code, closed = reader.take(_RESOLVED)
+    req, lag, cached, replica, attempt, code, closed = reader.take(_RESOLVED)
     outcome = _known(OUTCOMES, code, "outcome")
-    return AttemptEnded(req, attempt, replica, outcome, lag, closed != 0, kept, reader.report())
+    return AttemptEnded(req, attempt, replica, outcome, lag, closed != 0, cached, reader.report())
 
 
 def _probed(reader: _Reader) -> None:
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -93,7 +93,9 @@
     def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
         """Bytes of the worker's stream."""
 
-    def ended(self, attempt: Attempt, outcome: Outcome, kept: int, report: tuple[float, ...]) -> None:
+    def ended(
+        self, attempt: Attempt, outcome: Outcome, cached_tokens: int, report: tuple[float, ...]
+    ) -> None:
         """The attempt is over."""
 
 
@@ -134,9 +136,9 @@
         """Bytes of the worker's stream have come."""
         return self.reports.streamed(self, data)
 
-    def ended(self, outcome: Outcome, kept: int = 0, report: tuple[float, ...] = ()) -> None:
+    def ended(self, outcome: Outcome, cached_tokens: int = 0, report: tuple[float, ...] = ()) -> None:
         """It is over; said twice, only the first counts."""
-        self.reports.ended(self, outcome, kept, report)
+        self.reports.ended(self, outcome, cached_tokens, report)
 
 
 class Workers(Protocol):
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -249,7 +249,7 @@
         self,
         attempt: Attempt,
         outcome: api.Outcome,
-        kept: int = 0,
+        cached_tokens: int = 0,
         report: tuple[float, ...] = (),
     ) -> None:
         """An attempt is over; what it means for its call follows from whether it had begun to stream."""
@@ -276,7 +276,7 @@
                 outcome,
                 elapsed,
                 call.answered,
-                kept,
+                cached_tokens,
                 report,
                 attempt.reused,
             )
--- a/lockspoke/wire/sse.py
+++ b/lockspoke/wire/sse.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         self.events = 0  # data lines so far
         self.done = False  # the closing marker has come
-        self.kept_tokens = 0
+        self.cached_tokens = 0
         self.load = ""  # the last load report
         self._held = bytearray()  # of an event that is not whole
         self._read = 0  # of it, the bytes whose lines have been read
@@ -58,7 +58,7 @@
         if line.startswith(b"data:"):
             self.events += 1
             if b'"usage"' in line:
-                self.kept_tokens = _kept(line[5:])
+                self.cached_tokens = _cached_tokens(line[5:])
             elif line[5:].strip() == b"[DONE]":
                 self.done = True
         elif line.startswith(_LOAD):
@@ -68,9 +68,9 @@
             raise StreamError("no line of an event")
 
 
-def _kept(text: bytes) -> int:
+def _cached_tokens(text: bytes) -> int:
     try:
-        kept = json.loads(text)["usage"]["prompt_tokens_details"]["cached_tokens"]
+        count = json.loads(text)["usage"]["prompt_tokens_details"]["cached_tokens"]
     except (ValueError, KeyError, TypeError, RecursionError):
         return 0
-    return kept if isinstance(kept, int) and 0 <= kept < 1 << 32 else 0
+    return count if isinstance(count, int) and 0 <= count < 1 << 32 else 0
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -6,6 +6,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 import structlog
 from tornado.iostream import IOStream, StreamClosedError
@@ -37,6 +38,16 @@
     """Every descriptor set aside for workers is in use by an attempt."""
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How a worker answered one attempt."""
+
+    outcome: Outcome
+    cached_tokens: int = 0  # of the prompt, found in the worker's cache
+    load: str = ""  # its load report, as it was written
+    reusable: bool = False  # whether the connection can take another request
+
+
 class Connection:
     """A connection to one worker. A read is always pending, so that its end is noticed while it is idle."""
 
@@ -139,15 +150,15 @@
                 connection = None
                 return
             self.exchanges[attempt] = connection
-            outcome, kept, load, reusable = await self._exchange(connection, attempt)
-            if outcome is Outcome.FULL and not attempt.reused:
+            answer = await self._exchange(connection, attempt)
+            if answer.outcome is Outcome.FULL and not attempt.reused:
                 self.keep_alive.turned_away(asyncio.get_running_loop().time())
-            if reusable:
+            if answer.reusable:
                 self._release(connection)
                 connection = None
-            elif outcome is Outcome.RESET and not connection.answering:
+            elif answer.outcome is Outcome.RESET and not connection.answering:
                 self._was_stale(connection)
-            attempt.ended(outcome, kept, decode_load(load, self.load_names))
+            attempt.ended(answer.outcome, answer.cached_tokens, decode_load(answer.load, self.load_names))
         except ConnectError:
             if connection is not None:
                 self._was_stale(connection)
@@ -164,8 +175,8 @@
             if connection is not None:
                 self._close(connection)
 
-    async def _exchange(self, connection: Connection, attempt: Attempt) -> tuple[Outcome, int, str, bool]:
-        """Send the request and read the answer: the outcome, kept tokens, load, and whether to keep it."""
+    async def _exchange(self, connection: Connection, attempt: Attempt) -> Answer:
+        """Send the request and read the answer, passing its events on as they come."""
         call = attempt.call
         headers = dict(call.headers)
         headers["Req-Id"] = call.req_id
@@ -204,14 +215,14 @@
                                 await asyncio.wait([waits])
                     if whole and head is not None:
                         load = events.load or head.headers.get("srv-load")
-                        return outcome, events.kept_tokens, load, head.keep_alive and parser.clean
+                        return Answer(outcome, events.cached_tokens, load, head.keep_alive and parser.clean)
         except (StreamClosedError, HttpError, StreamError, TimeoutError) as error:
             load = events.load or (head.headers.get("srv-load") if head else "")
             if outcome in (Outcome.OK, Outcome.RESET) and not isinstance(error, StreamClosedError):
                 # The worker has run it and answered, if badly; its connections are not to blame.
                 outcome = Outcome.ERROR
                 self.spoilt += 1
-            return (Outcome.RESET if outcome is Outcome.OK else outcome), 0, load, False
+            return Answer(Outcome.RESET if outcome is Outcome.OK else outcome, load=load)
 
     # The connections
 
--- a/tests/hillridge/test_breaker.py
+++ b/tests/hillridge/test_breaker.py
@@ -8,7 +8,7 @@
 from hillridge.policy import (
     COME_BACK,
     FAILURE_THRESHOLD,
-    FIRST_CEILING,
+    FIRST_LIMIT,
     LONGEST_RECOVERY,
     RECOVERY,
     STALE_TRIAL,
@@ -154,11 +154,11 @@
     assert world.balancer.replicas[2].breaker.state is State.CLOSED
 
 
-def test_a_replica_that_was_open_returns_with_a_low_ceiling() -> None:
+def test_a_replica_that_was_open_returns_with_a_low_limit() -> None:
     """All gateways find a returned replica empty at once; it must earn its share."""
     world = World(replicas=(1, 2, 3, 4))
     fail_on(world, 2, api.Outcome.RESET, 0)
-    assert world.balancer.replicas[2].ceiling == FIRST_CEILING
+    assert world.balancer.replicas[2].limit == FIRST_LIMIT
 
 
 def test_shared_time_outs_open_half_the_fleet_at_most() -> None:
--- a/tests/hillridge/test_overload.py
+++ b/tests/hillridge/test_overload.py
@@ -42,7 +42,8 @@
         self.now, self.queue = 1_000 * SECOND, list[tuple[int, int, Callable[[], None]]]()
         self.taken, self.read_until = [0] * WORKERS, [0] * WORKERS
         self.prompts, self.sessions = dict[int, float](), dict[int, int]()
-        self.session_count, self.kept = sessions, dict[tuple[int, int], float]()  # tokens, by worker, session
+        self.session_count = sessions
+        self.cached = dict[tuple[int, int], float]()  # tokens, by worker, session
         self.deadlines = dict[int, int]()
         self.over, self.answered = set[int](), set[int]()
         self.attempts = dict[int, int]()
@@ -97,8 +98,8 @@
             return self._at(self.now + 2 * MS, lambda: end(Outcome.FULL))
         self.taken[worker] += 1
         held = worker, self.sessions[number]
-        reading = int(max(0.0, self.prompts[number] - self.kept.get(held, 0.0)) / READ * SECOND)
-        self.kept[held] = self.prompts[number]
+        reading = int(max(0.0, self.prompts[number] - self.cached.get(held, 0.0)) / READ * SECOND)
+        self.cached[held] = self.prompts[number]
         self.read_until[worker] = max(self.now, self.read_until[worker]) + reading
         return self._at(self.read_until[worker] + 5 * MS, first)
 
--- a/tests/hillridge/test_pick.py
+++ b/tests/hillridge/test_pick.py
@@ -1,4 +1,4 @@
-"""The pick, the waiting line and the ceilings, on the module alone."""
+"""The pick, the waiting line and the concurrency limits, on the module alone."""
 
 from __future__ import annotations
 
@@ -159,9 +159,9 @@
 def test_a_restart_forgets_what_was_kept() -> None:
     world = World(replicas=(1, 2))
     home = world.sent_to(world.arrive(1, session=5))[0]
-    assert world.balancer.replicas[home].kept
+    assert world.balancer.replicas[home].cached
     world.list(api.ListKind.DELTA, ready(home, started_at=world.now))
-    assert not world.balancer.replicas[home].kept
+    assert not world.balancer.replicas[home].cached
 
 
 def home_share(near: float) -> float:
@@ -181,7 +181,7 @@
 
 
 def jammed(world: World) -> None:
-    """Late first tokens on every replica, so that each has a ceiling."""
+    """Late first tokens on every replica, so that each has a concurrency limit."""
     for number in range(1, 41):
         world.arrive(number, time_left=60 * SECOND)
     world.pass_time(2 * SECOND)
@@ -190,11 +190,11 @@
             world.first_token(number)
 
 
-def test_late_first_tokens_set_ceilings_and_the_rest_waits_newest_first() -> None:
+def test_late_first_tokens_set_limits_and_the_rest_waits_newest_first() -> None:
     """A jam outlasts its cause when everything is sent on: held back, requests are served in time."""
     world = World(replicas=(1, 2))
     jammed(world)
-    assert all(r.in_flight >= r.ceiling for r in world.balancer.replicas.values())
+    assert all(r.in_flight >= r.limit for r in world.balancer.replicas.values())
     for number in (101, 102, 103):
         assert not world.sent_to(world.arrive(number))
         world.pass_time(10 * MS)
@@ -256,14 +256,14 @@
     raise AssertionError("nothing left the line")
 
 
-def test_quick_first_tokens_raise_a_ceiling_again() -> None:
-    """After a burst replicas stayed half idle: a ceiling rose by one each answer's length."""
+def test_quick_first_tokens_raise_a_limit_again() -> None:
+    """After a burst replicas stayed half idle: a concurrency limit rose by one each answer's length."""
     world = World(replicas=(1,))
     jammed(world)
     replica = world.balancer.replicas[1]
     for number in range(1, 41):
         world.end(number, api.Outcome.OK)
-    before, fed = replica.ceiling, 0
+    before, fed = replica.limit, 0
     for number in range(200, 300):
         world.arrive(number)
         world.pass_time(MS)
@@ -271,10 +271,10 @@
         for request, attempt in fresh:
             world.first_token(request, attempt)
             fed += 1
-        if len(world.out()) >= int(replica.ceiling):
+        if len(world.out()) >= int(replica.limit):
             world.end(world.out()[0][0], api.Outcome.OK)
     assert fed > 40
-    assert replica.ceiling >= before + 5
+    assert replica.limit >= before + 5
 
 
 def test_a_full_replica_rests_and_what_waits_is_taken_up_by_time_alone() -> None:
@@ -407,7 +407,7 @@
     balancer = world.balancer
     assert len(balancer.replicas) <= 20 and not balancer.requests and not balancer.waiting
     assert len(balancer.due) <= 200
-    assert all(len(r.kept) <= 2048 and len(r.cold_sends) <= 100 for r in balancer.replicas.values())
+    assert all(len(r.cached) <= 2048 and len(r.cold_sends) <= 100 for r in balancer.replicas.values())
 
 
 def test_a_freed_place_goes_to_a_waiting_request_whose_prompt_is_kept_there() -> None:
@@ -416,7 +416,7 @@
         world = World(replicas=(1, 2))
         jammed(world)
         for replica, session in ((mine, 8), (other, 9)):
-            world.balancer.replicas[replica].kept[session] = 4000.0
+            world.balancer.replicas[replica].cached[session] = 4000.0
         world.arrive(101, session=8, prompt_tokens=4200.0)
         world.pass_time(10 * MS)
         world.arrive(102, session=9, prompt_tokens=4200.0)
@@ -428,16 +428,16 @@
         assert sent[0] == (101, mine)
 
 
-def test_ceilings_rise_less_with_more_gateways() -> None:
-    """A cut takes a part of each gateway's ceiling; a fixed rise would outrun running answers with many."""
+def test_limits_rise_less_with_more_gateways() -> None:
+    """A cut takes a part of each gateway's limit; a fixed rise would outrun running answers with many."""
     risen = {}
     for gateways in (1, 4):
         world = World(settings(gateways=gateways), replicas=(1,))
         replica = world.balancer.replicas[1]
-        replica.ceiling = 1.0
+        replica.limit = 1.0
         world.arrive(1)
         world.first_token(1)
-        risen[gateways] = replica.ceiling - 1.0
+        risen[gateways] = replica.limit - 1.0
     assert risen[1] > 3 * risen[4] > 0
 
 
@@ -456,15 +456,15 @@
 
 
 def test_a_gateway_among_many_holds_back_when_most_first_tokens_are_late() -> None:
-    """A ceiling of one a replica never binds there, and a shared jam went on until the record's end."""
+    """A limit of one a replica never binds there, and a shared jam went on until the record's end."""
     world = shared_jam(late=range(1, 21))
     sent = [len(world.sent_to(world.arrive(number))) for number in range(101, 121)]
-    most = math.ceil(world.balancer.fleet.ceiling)
+    most = math.ceil(world.balancer.fleet.limit)
     assert most < 20 and sent == [1] * most + [0] * (20 - most), "so many may wait for a first token"
 
 
 def test_after_a_jam_streams_that_run_on_hold_no_call_back() -> None:
-    """Streams last for seconds: a ceiling cut to a few of them held calls long after a jam."""
+    """Streams last for seconds: a concurrency limit cut to a few of them held calls long after a jam."""
     world = shared_jam(late=range(1, 21))
     assert sum(call.streaming for call in world.calls.values()) == 20
     for number in range(101, 131):  # answers begin at once again, none ends
@@ -519,18 +519,18 @@
         if world.calls[number].attempts[-1][0] == 1:
             world.end(number, api.Outcome.FULL)
         world.pass_time(MS)
-    assert world.balancer.fleet.ceiling == math.inf
+    assert world.balancer.fleet.limit == math.inf
 
 
 def test_a_prompt_that_must_be_read_may_take_twice_as_long_before_it_counts_as_late() -> None:
-    """Long prompts took the time that a jam takes, and ceilings were cut on an idle fleet."""
-    ceilings = []
+    """Long prompts took the time that a jam takes, and concurrency limits were cut on an idle fleet."""
+    limits = []
     for kept in (0.0, 1000.0):
         world = World(replicas=(1,))
         if kept:
-            world.balancer.replicas[1].kept[5] = kept
+            world.balancer.replicas[1].cached[5] = kept
         world.arrive(1, session=5)
         world.pass_time(300 * MS)
         world.first_token(1)
-        ceilings.append(world.balancer.replicas[1].ceiling)
-    assert ceilings == [math.inf, 1.0]
+        limits.append(world.balancer.replicas[1].limit)
+    assert limits == [math.inf, 1.0]
--- a/tests/hillridge/test_reports.py
+++ b/tests/hillridge/test_reports.py
@@ -25,10 +25,10 @@
     world.arrive(number, prompt_tokens=0.0)
     world.pass_time(after)
     world.first_token(number)
-    return world.balancer.replicas[1].ceiling
+    return world.balancer.replicas[1].limit
 
 
-def test_a_late_first_token_cuts_no_ceiling_while_a_report_says_there_is_room() -> None:
+def test_a_late_first_token_cuts_no_limit_while_a_report_says_there_is_room() -> None:
     """Workers that read prompts nobody kept were held to one request with most of their slots free."""
     assert late(reported(0.2), 9, 450 * MS) == math.inf
     assert late(reported(0.9), 9, 450 * MS) < 4
@@ -38,14 +38,14 @@
     assert late(world, 9, 450 * MS) < 4, "the report is old"
 
 
-def test_a_report_lifts_a_ceiling_that_is_lower_than_the_room_it_speaks_of() -> None:
-    """Ceilings of one stayed there: only in-time first tokens at the ceiling raised them, a little each."""
+def test_a_report_lifts_a_limit_that_is_lower_than_the_room_it_speaks_of() -> None:
+    """Limits of one stayed there: only in-time first tokens at the limit raised them, a little each."""
     world = reported(0.9)
     replica = world.balancer.replicas[1]
     assert late(world, 9, 700 * MS) < 4
     world.pass_time(REPORT_LIVES + MS)
     world.end(3, api.Outcome.OK, report=(0.1,))
-    assert replica.ceiling > 10
+    assert replica.limit > 10
 
 
 def test_a_class_that_a_replica_turns_away_slowly_is_kept_off_it_and_others_are_not() -> None:
@@ -64,7 +64,7 @@
         world.pass_time(300 * MS)
     assert asked <= 3
     replica = world.balancer.replicas[1]
-    assert replica.full_until == 0 and replica.ceiling == math.inf
+    assert replica.full_until == 0 and replica.limit == math.inf
     assert any(world.sent_to(world.arrive(number)) == [1] for number in range(100, 120))
 
 
@@ -117,10 +117,10 @@
 
 def test_homes_follow_the_list() -> None:
     world = World(replicas=range(1, 9))
-    before = world.balancer._homes(77)
+    before = world.balancer._ranking(77)
     assert before == sorted(world.balancer.ready, key=lambda replica: replica.rank(77))
     world.list(api.ListKind.DELTA, (api.ListEntry(before[0].number, api.ReplicaState.DRAINING),))
-    assert world.balancer._homes(77) == before[1:]
+    assert world.balancer._ranking(77) == before[1:]
 
 
 def kinds_of_machine(**changes: Any) -> World:
@@ -178,7 +178,7 @@
     world.arrive(2, session=8, prompt_tokens=4200.0)
     assert world.calls[2].attempts[0][0] != keeper
     world.pass_time(60 * SECOND)
-    world.balancer.replicas[world.calls[2].attempts[0][0]].kept.clear()
+    world.balancer.replicas[world.calls[2].attempts[0][0]].cached.clear()
     world.arrive(3, session=8, prompt_tokens=4200.0)
     assert world.calls[3].attempts[0][0] == keeper
 
--- a/tests/wire/test_wire_fields.py
+++ b/tests/wire/test_wire_fields.py
@@ -29,7 +29,7 @@
     stream = EventStream()
     passed = b"".join(stream.feed(part) for part in cut(STREAM, cuts))
     assert passed + stream.rest() == STREAM
-    assert (stream.events, stream.done, stream.kept_tokens) == (3, True, 4096)
+    assert (stream.events, stream.done, stream.cached_tokens) == (3, True, 4096)
     assert stream.load == "util=0.61,lat=3"
 
 
@@ -41,7 +41,7 @@
         for part in parts:
             passed = stream.feed(part)
             assert not passed or passed.endswith(b"\n")
-    assert stream.kept_tokens == 0
+    assert stream.cached_tokens == 0
 
 
 def test_events_pass_whole_and_half_of_one_is_held() -> None:
