--- a/tests/lifecycle/test_program.py
+++ b/tests/lifecycle/test_program.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from lockspoke.wire.http1 import BODY_LIMIT, HEAD_LIMIT
+from lockspoke.wire.http1 import BODY_LIMIT, HEAD_LIMIT, Request
 from tests.standins import (
     EVENTS,
     HEAD,
@@ -460,6 +460,66 @@
         assert len([line for line in program.logs if line["event"] == "clients_at_limit"]) <= 2
 
 
+class HangingUpDiscovery(FakeDiscovery):
+    """While it is down it closes each connection with no answer."""
+
+    down = False
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if self.down:
+            writer.close()
+            return
+        await super().answer(request, writer)
+
+    def go_down(self) -> None:
+        self.down = True
+        for writer in self.writers:
+            writer.close()
+
+
+@run
+async def test_idle_clients_that_fill_the_descriptors_keep_neither_the_watch_nor_calls_from_theirs() -> None:
+    async with FakeWorker() as old, FakeWorker() as new, HangingUpDiscovery() as discovery:
+        discovery.change(old)
+        async with Program(old, discovery=discovery, sockets=120) as program:
+            await until(lambda: program.log("registry_changed") is not None)
+            discovery.go_down()
+            await until(lambda: program.log("discovery_failing") is not None)
+            idle = [socket.create_connection(("127.0.0.1", program.port)) for _ in range(300)]
+            discovery.down = False
+            discovery.change(new)
+            await until(lambda: program.log("discovery_back") is not None)
+            async with Client(program.port) as client:
+                assert (await client.ask(call_bytes(1)))[0] == 200
+            assert (len(old.seen), len(new.seen)) == (0, 1)
+            for one in idle:
+                one.close()
+
+
+@run
+async def test_of_twenty_programs_that_start_at_once_on_two_cores_all_are_ready_in_time() -> None:
+    cores, loop = os.sched_getaffinity(0), asyncio.get_running_loop()
+
+    async def ready(start: Awaitable[Program]) -> float:
+        program = await start
+        async with Client(program.port) as client:
+            while (await client.ask(UP))[0] != 200:
+                await asyncio.sleep(0.01)
+        return loop.time()
+
+    async with contextlib.AsyncExitStack() as stack:
+        worker = await stack.enter_async_context(FakeWorker())
+        began = loop.time()
+        os.sched_setaffinity(0, sorted(cores)[:2])  # the programs take it over
+        try:
+            starts = [ready(stack.enter_async_context(Program(worker))) for _ in range(20)]
+            took = sorted(when - began for when in await asyncio.gather(*starts))
+        finally:
+            os.sched_setaffinity(0, cores)
+    assert took[17] <= 10.0, "nine in ten"
+    assert took[-1] <= 30.0
+
+
 @run
 async def test_a_client_that_reads_nothing_holds_up_its_worker_and_not_the_memory() -> None:
     sent = 0
