--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -11,7 +11,6 @@
 import sys
 import time
 from collections.abc import Callable, Sequence
-from enum import Enum
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -29,53 +28,20 @@
 
 from .bans import read_bans, write_bans
 from .config import Config, ConfigError, read_config
+from .drain import QUIET, Drain
 from .logs import start_logging
 from .parts import ListSource, Subsystem, Surroundings, only_source
+from .phases import Phase
+from .timers import LoopTimers
 
 if TYPE_CHECKING:
     from .edge import Section
 
 SWEEP = 0.25  # bad clients are owed an answer within 3 s
 TOTALS = 10.0  # seconds between two lines of totals
-HAND_OVER = 0.3  # seconds before the platform may kill: what is still open goes to other gateways
-AT_ONCE = 0.15  # seconds before it may: until then streams are let go on of which more has come already
-KEEP_ACCEPTING = 0.7  # seconds after SIGTERM: clients hear late that this gateway stops
-QUIET = 0.3  # seconds without a new connection, or of an idle one, before it is closed
-LONGEST_ACCEPTING = 2.0
-# Where no stream may be cut, in seconds after SIGTERM: new connections come for 0.4 s at most, and what came
-# later than 0.7 s is lost if the kill finds it unanswered.
-LAST_CONNECTIONS = 0.45
-LAST_CALLS = 0.65
-
 log = structlog.get_logger()
 
 
-class Phase(Enum):
-    """Where the program stands between start and exit."""
-
-    STARTING = "starting"  # no worker known yet: not ready to be sent calls
-    READY = "ready"
-    DRAINING = "draining"  # told to stop: answers what it has taken, and what still comes
-    TURNING_AWAY = "turning_away"  # the same, but what comes now goes elsewhere: its stream could be cut
-    STOPPED = "stopped"
-
-
-class LoopTimers:
-    """The system's clock and the event loop's timers."""
-
-    def __init__(self) -> None:
-        # One time base: steady, yet comparable with the Unix times at which workers started.
-        self._base = time.time_ns() - time.monotonic_ns()
-
-    def now(self) -> int:
-        """Nanoseconds since the Unix epoch, never going back."""
-        return self._base + time.monotonic_ns()
-
-    def later(self, delay: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
-        """Call back after so many nanoseconds."""
-        return asyncio.get_running_loop().call_later(max(0, delay) / 1e9, callback)
-
-
 class PlatformDiscovery(DiscoveryWatch):
     """The platform's discovery as the source of the list."""
 
@@ -196,7 +162,7 @@
         gc.freeze()  # what is loaded now stays: later collections need not look at it
         sweeps = asyncio.ensure_future(self._sweep())
         await self._stop.wait()
-        await self._drain()
+        await Drain(self.core, self.clients, self.parts, lambda: self.config, self._enter).run()
         sweeps.cancel()
         if self.operators is not None:
             self.operators.listener.stop()
@@ -268,42 +234,6 @@
             **self.core.totals,
         )
 
-    async def _drain(self) -> None:
-        """Answer all that was taken, and all that comes while clients still come here."""
-        self._enter(Phase.DRAINING)
-        self.clients.intake = Intake.LAST
-        ending = [asyncio.ensure_future(part.drain()) for part in self.parts]
-        listener, loop = self.clients.listener, asyncio.get_running_loop()
-        began = loop.time()
-        kill = began + self.config.stop_time
-        last = min(began + LONGEST_ACCEPTING, kill - HAND_OVER)
-        if not self.config.resumes:
-            # No stream may be cut then, and none is sure to end in time: its worker may be slow, or hang.
-            last = min(last, began + LAST_CONNECTIONS)
-            loop.call_at(began + LAST_CALLS, self._turn_away)
-        while loop.time() < last:
-            await asyncio.sleep(0.05)
-            listener.close_idle(QUIET)
-            quiet = loop.time() - listener.last_accept >= QUIET
-            if quiet and loop.time() - began >= KEEP_ACCEPTING:
-                break
-        listener.stop()
-        while listener.connections or self.core.calls:
-            listener.close_idle(QUIET)
-            if (now := loop.time()) >= kill - HAND_OVER:
-                # What a kill finds open is lost; given away in time, clients ask for the rest elsewhere. Not
-                # sooner, though nothing may be open by then: a request can still come on what is connected.
-                self.core.hand_over(streams=self.config.resumes, at_once=now >= kill - AT_ONCE)
-            await asyncio.sleep(0.02)
-        for part in ending:
-            await part
-
-    def _turn_away(self) -> None:
-        """Take no more calls: connections that clients still have here lead on to other gateways."""
-        if self.phase is Phase.DRAINING:
-            self._enter(Phase.TURNING_AWAY)
-            self.clients.intake = Intake.CLOSED
-
 
 def give_back() -> None:
     """Give memory that nothing uses back to the system.
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from hillridge.interface import RequestClass, Settings
-from lockspoke.lifecycle.program import LoopTimers
+from lockspoke.lifecycle.timers import LoopTimers
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
 from lockspoke.memory.registry import Entry, Registry, RegistryUpdate
