--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -9,10 +9,10 @@
 import heapq
 import math
 import random
-from collections import deque
+from itertools import islice
 
 from . import interface as api
-from .records import Attempt, DecayingSum, Kind, PromptBands, Replica, Request, State, appraise, tally
+from .records import Attempt, DecayingSum, Kind, PromptBands, Recent, Replica, Request, State, appraise, tally
 
 SECOND = 1_000_000_000
 FAILURE_THRESHOLD = 5  # the source's figure
@@ -40,7 +40,7 @@
 LIMIT_CUT = 0.7  # what is left of a concurrency limit after a late first token, a time-out or 'full'
 PREFERRED_SHARE = 0.5  # of a mean replica's requests: as many as one prefix may bring to one replica
 MOST_RANKINGS = 512  # prefixes whose ranking of the replicas is kept
-RECENT = 64  # requests by which a prefix's share of the traffic is judged
+RECENT = 256  # requests by which a prefix's share of the traffic is judged: there may be hundreds of them
 FULL_PAUSE = SECOND // 10  # before a full replica is asked again: at once, it would only refuse again
 COME_BACK = SECOND // 2  # the least that a refused client is told to wait: sooner, it meets the same jam
 REJECTIONS = 2  # replicas that find a request at fault, until it is: one alone may itself be at fault
@@ -123,7 +123,7 @@
         self.bands = PromptBands(BAND_MEMORY)
         self.lateness = 0.0  # share of late signs among the latest ones
         self.last_winner: Replica | None = None
-        self.recent: deque[int] = deque(maxlen=RECENT)  # prefixes, or sessions, of the latest requests
+        self.recent = Recent(RECENT)  # prefixes, or sessions, of the latest requests
         self.due: list[tuple[int, int]] = []  # (deadline, request)
         self.armed = _NEVER  # when the timer that was asked for fires
         self.ask_at: int | None = None  # when to ask for the list
@@ -221,7 +221,7 @@
         request = Request(event, self.now, self.settings.classes[event.request_class])
         self.requests[event.request] = self.waiting[event.request] = request
         heapq.heappush(self.due, (request.deadline, event.request))
-        self.recent.append(event.prefix or event.session)
+        self.recent.add(event.prefix or event.session)
         seen = min(len(self.recent), ASKED_MEMORY)  # a gateway that has just started goes by what it has seen
         self.asked += (event.prompt_tokens + ANSWER_TOKENS - self.asked) / seen
 
@@ -498,12 +498,13 @@
         A session's are the same at all gateways of a zone: its next turn may come to any of them.
         """
         key = arrived.prefix or arrived.session
-        share = self.recent.count(key) / max(ASKED_MEMORY, len(self.recent))
-        holders = [replica for replica in self._ranking(key) if replica in closed]
-        holders = holders[: 1 + int(share * len(closed) / PREFERRED_SHARE)]
+        count = 1 + int(self.recent.share(key, ASKED_MEMORY) * len(closed) / PREFERRED_SHARE)
+        holders = list(islice((replica for replica in self._ranking(key) if replica in closed), count))
         if not arrived.session:
             return self._draw(holders)
-        return sorted(holders, key=lambda r: r.rank(arrived.session) / self._nearness(r))[:SAMPLE]
+        own, near = self.settings.zone, 1.0 + NEAR * self.settings.cross_zone_price
+        holders.sort(key=lambda r: r.rank(arrived.session) / (near if r.zone == own else 1.0))
+        return holders[:SAMPLE]
 
     def _ranking(self, key: int) -> list[Replica]:
         """The ready replicas in the order in which they should hold a prefix; ranking is dear, so kept."""
@@ -514,12 +515,10 @@
             order = self.rankings[key] = sorted(self.ready, key=lambda replica: replica.rank(key))
         return order
 
-    def _nearness(self, replica: Replica) -> float:
-        return 1.0 + NEAR * self.settings.cross_zone_price * (replica.zone == self.settings.zone)
-
     def _draw(self, replicas: list[Replica]) -> list[Replica]:
         # By size: weights that sink with the load move a part of the traffic, never all of it.
-        weights = [replica.size * self._nearness(replica) for replica in replicas]
+        own, near = self.settings.zone, 1.0 + NEAR * self.settings.cross_zone_price
+        weights = [r.size * near if r.zone == own else r.size for r in replicas]
         return self.random.choices(replicas, weights, k=SAMPLE)
 
     def _cost(self, replica: Replica, request: Request, mean_size: float) -> float:
--- a/hillridge/records.py
+++ b/hillridge/records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict, defaultdict, deque
+from collections import Counter, OrderedDict, defaultdict, deque
 from collections.abc import Iterable
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -54,6 +54,32 @@
         return self.value(now) * math.log(2) * SECOND / self.half_life
 
 
+class Recent:
+    """The keys of the latest requests, and how often each of them came."""
+
+    def __init__(self, most: int) -> None:
+        self._latest: deque[int] = deque(maxlen=most)
+        self._counts: Counter[int] = Counter()
+
+    def __len__(self) -> int:
+        """How many requests it holds."""
+        return len(self._latest)
+
+    def add(self, key: int) -> None:
+        """One more request; past the bound the oldest is forgotten."""
+        if len(self._latest) == self._latest.maxlen:
+            oldest = self._latest[0]
+            self._counts[oldest] -= 1
+            if not self._counts[oldest]:
+                del self._counts[oldest]
+        self._latest.append(key)
+        self._counts[key] += 1
+
+    def share(self, key: int, at_least: int) -> float:
+        """The key's share of the latest requests; judged as if there were so many, where there are fewer."""
+        return self._counts[key] / max(at_least, len(self._latest))
+
+
 class PromptBands:
     """How requests fared of late by the length of their prompts: each band is twice as long as the last.
 
--- a/tests/hillridge/test_records.py
+++ b/tests/hillridge/test_records.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hillridge.records import MOST_HALF_LIVES, DecayingSum, PromptBands
+from hillridge.records import MOST_HALF_LIVES, DecayingSum, PromptBands, Recent
 from tests.hillridge.helpers import SECOND
 
 
@@ -50,3 +50,15 @@
     for second in range(0, 3 * MOST_HALF_LIVES * 30, 10):
         bands.note(second * SECOND, 900.0, sent=second % 20 == 0)
     assert bands.share_sent(900.0) == pytest.approx(0.5, abs=0.1)
+
+
+def test_keys_share_among_the_latest_requests_and_few_are_judged_as_more() -> None:
+    recent = Recent(4)
+    recent.add(7)
+    assert recent.share(7, at_least=16) == pytest.approx(1 / 16)
+    for key in (7, 8, 9, 8):
+        recent.add(key)
+    assert [recent.share(key, at_least=1) for key in (7, 8, 9, 5)] == [0.25, 0.5, 0.25, 0.0]
+    for _ in range(4):
+        recent.add(5)
+    assert len(recent._counts) == 1, "what is forgotten leaves nothing behind"
