--- a/tests/hillridge/test_pick.py
+++ b/tests/hillridge/test_pick.py
@@ -39,47 +39,47 @@
 
 def test_a_session_goes_where_its_prompt_is_kept() -> None:
     world = World(replicas=range(1, 11))
-    homes = {}
+    holders = {}
     for session in range(1, 21):
-        homes[session] = world.sent_to(world.arrive(session, session=session, prompt_tokens=4000.0))[0]
+        holders[session] = world.sent_to(world.arrive(session, session=session, prompt_tokens=4000.0))[0]
         world.first_token(session)
         world.end(session, api.Outcome.OK)
-    for session, home in homes.items():
+    for session, home in holders.items():
         number = 100 + session
         assert world.sent_to(world.arrive(number, session=session, prompt_tokens=4300.0)) == [home]
         world.first_token(number)
         world.end(number, api.Outcome.OK)
 
 
-def homes_of(prefix: int, seeds: range, among: Iterable[int]) -> Counter[int]:
-    """Where gateways that have seen a common mix of beginnings each send one more request."""
-    homes: Counter[int] = Counter()
+def holders_of(prefix: int, seeds: range, among: Iterable[int]) -> Counter[int]:
+    """Where gateways that have seen a common mix of prefixes each send one more request."""
+    holders: Counter[int] = Counter()
     for seed in seeds:
         world = World(replicas=range(1, 11), seed=seed)
         for number, other in enumerate(among):
             world.arrive(number, prefix=other, prefix_tokens=3000.0, prompt_tokens=3500.0)
             world.first_token(number)
             world.end(number, api.Outcome.OK)
-        homes.update(
+        holders.update(
             world.sent_to(world.arrive(999, prefix=prefix, prefix_tokens=3000.0, prompt_tokens=3500.0))
         )
-    return homes
+    return holders
 
 
 def test_gateways_find_the_same_home_for_a_prefix_without_talking() -> None:
     """Each knows only its own sends: the home must win at a gateway that never sent this prefix before."""
     for prefix in range(70, 80):
-        assert len(homes_of(prefix, range(6), range(100, 130))) == 1
+        assert len(holders_of(prefix, range(6), range(100, 130))) == 1
 
 
-def test_a_beginning_that_many_ask_for_has_many_homes() -> None:
+def test_a_prefix_that_many_ask_for_has_many_holders() -> None:
     """One home alone got it from every gateway: with a hundred of them it stood at seven times the mean."""
-    homes = homes_of(70, range(40), [70, 71, 70, 72] * 8)
-    assert len(homes) >= 6 and max(homes.values()) <= 16
+    holders = holders_of(70, range(40), [70, 71, 70, 72] * 8)
+    assert len(holders) >= 6 and max(holders.values()) <= 16
 
 
 def test_the_turns_of_a_session_find_one_replica_from_any_gateway() -> None:
-    """Each turn came by another gateway and went to another of the beginning's homes: all was read anew."""
+    """Each turn came by another gateway and went to another of the prefix's holders: all was read anew."""
     replicas, together = range(1, 92), 0
     for session in range(1, 11):
         turns = Counter[int]()
@@ -95,7 +95,7 @@
     assert together >= 0.7 * 10 * 12
 
 
-def test_the_sessions_of_a_beginning_are_spread_over_its_homes() -> None:
+def test_the_sessions_of_a_prefix_are_spread_over_its_holders() -> None:
     sent: Counter[int] = Counter()
     for session in range(1, 201):
         world = World(settings(gateways=200), replicas=range(1, 92), seed=session)
@@ -117,12 +117,12 @@
 
 
 def test_one_request_of_few_is_no_sign_that_many_ask_for_a_beginning() -> None:
-    """Of a young gateway's requests one is a great share: each beginning was read by the whole fleet."""
-    homes = Counter[int]()
+    """Of a young gateway's requests one is a great share: each prefix was read by the whole fleet."""
+    holders = Counter[int]()
     for seed in range(200):
         world = World(settings(gateways=200), replicas=range(1, 92), seed=seed)
-        homes.update(world.sent_to(world.arrive(1, prefix=100, prefix_tokens=3000.0, prompt_tokens=3500.0)))
-    assert len(homes) <= 15
+        holders.update(world.sent_to(world.arrive(1, prefix=100, prefix_tokens=3000.0, prompt_tokens=3500.0)))
+    assert len(holders) <= 15
 
 
 def test_idle_replicas_are_drawn_by_their_listed_size() -> None:
