A list's entry that cannot be read costs no other entry of that list

Cause: decode_list raised at the first entry that it could not read, and the watch dropped the whole answer, the drains in it included. Discovery had written them, so they counted as told; the same bad entry came with every repeat, so they were never taken. The same held for a whole list that names a replica twice.

Ruled out: that the repeat mends it. A bad entry that stays makes each repeat fail.

Change: what can be read takes effect, what cannot stays as it is, and the version stays, so that the same is asked for again after the pause of a failed request. An entry with a uid and a state that takes it out of use does so, whatever else of it is wrong. Where an entry names no replica, the list counts as changes only. Of a replica named twice only a drain or removal is believed. The log line names the field, as before.

--- a/lockspoke/memory/registry.py
+++ b/lockspoke/memory/registry.py
@@ -11,6 +11,7 @@
 
 STATES = {"ready": ReplicaState.READY, "draining": ReplicaState.DRAINING, "gone": ReplicaState.GONE}
 MS = 1_000_000
+UNKNOWN_VERSION = -1  # no list has been taken, or none of the service that is asked now
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,9 @@
     rev: int
     whole: bool
     entries: tuple[Entry, ...]
+    unread: frozenset[str] = (
+        frozenset()
+    )  # uids that it names in a way that can't be read: they stay as they are
 
 
 @dataclass(slots=True)
@@ -59,7 +63,7 @@
         self.numbers = numbers
         self.zones = {name: index for index, name in enumerate(zones)}
         self.workers: dict[int, Worker] = {}
-        self.rev = -1
+        self.rev = UNKNOWN_VERSION
         # Kept with each change, so that a change of one worker costs nothing for the thousands of others.
         self._at: dict[tuple[str, int], set[int]] = {}  # by address, the workers that are not gone
         self._gone: set[int] = set()
@@ -101,9 +105,14 @@
             self._stand(worker, touched)
         if update.whole:
             for worker in self.workers.values():
-                if worker.number not in entries and worker.state != "gone":
-                    self._end(worker)
-                    left.append(worker)
+                if worker.number in entries or worker.state == "gone":
+                    continue
+                if worker.uid in update.unread:
+                    # To the decisions, too, what a whole list does not name is gone.
+                    entries[worker.number] = self._entry(worker.number, self._listed[worker.number])
+                    continue
+                self._end(worker)
+                left.append(worker)
         for worker in self._superseded(touched):
             self._end(worker)
             entries[worker.number] = ListEntry(worker.number, ReplicaState.GONE)
--- a/lockspoke/wire/discovery.py
+++ b/lockspoke/wire/discovery.py
@@ -1,46 +1,88 @@
-"""The list of workers as discovery writes it."""
+"""The replica list as discovery writes it."""
 
 from __future__ import annotations
 
 import json
 import math
+from collections import Counter
+from dataclasses import dataclass
 from typing import Any
 
 from lockspoke.memory.registry import Entry, RegistryUpdate
 
+LIST_LIMIT = 4 * 1024 * 1024  # bytes
 STATES = {"up": "ready", "draining": "draining", "removed": "gone"}
-LIST_LIMIT = 4 * 1024 * 1024
 
 
 class ListError(ValueError):
-    """An answer that is not a list of workers; the text says what is wrong with it."""
+    """An answer, or a part of it, that cannot be read; the text names the field and what is wrong."""
 
 
-def decode_list(text: bytes) -> RegistryUpdate:
-    """Read an answer of discovery; a whole list that names a worker twice says nothing certain of it."""
+@dataclass(frozen=True, slots=True)
+class ListAnswer:
+    """What could be read of an answer, and what could not."""
+
+    update: RegistryUpdate
+    faults: tuple[str, ...] = ()  # each names an entry's field
+
+    def complete(self) -> RegistryUpdate:
+        """The update; raises ListError if any of it could not be read."""
+        if self.faults:
+            raise ListError(self.faults[0])
+        return self.update
+
+
+def decode_list(text: bytes) -> ListAnswer:
+    """Read the body of an answer; raises ListError where nothing of it can be used."""
     try:
         raw = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise ListError(f"not JSON: {error}") from None
-    update = read_list(raw)
-    named: set[str] = set()
-    for at, entry in enumerate(update.entries if update.whole else ()):
-        if entry.uid in named:
-            raise ListError(f"targets[{at}].uid {entry.uid!r} is listed twice; name each worker once")
-        named.add(entry.uid)
-    return update
+    return read_list(raw)
 
 
-def read_list(raw: Any) -> RegistryUpdate:
-    """Read a list that has been decoded from JSON already."""
+def read_list(raw: Any) -> ListAnswer:
+    """Read a list that has been decoded from JSON already; an entry that cannot be read costs no other one.
+
+    What an unreadable entry speaks of stays as it is. Where it does not even name a replica, nothing can be
+    concluded from a replica's absence, so such a list counts as changes only.
+    """
     if not isinstance(raw, dict):
         raise ListError("want an object")
-    rev, whole, targets = raw.get("rev"), raw.get("all"), raw.get("targets")
-    if isinstance(rev, bool) or not isinstance(rev, int) or rev < 0:
-        raise ListError(f"rev is {rev!r}")
+    version, whole, targets = raw.get("rev"), raw.get("all"), raw.get("targets")
+    if isinstance(version, bool) or not isinstance(version, int) or version < 0:
+        raise ListError(f"rev is {version!r}")
     if not isinstance(whole, bool) or not isinstance(targets, list):
         raise ListError("all or targets is missing")
-    return RegistryUpdate(rev, whole, tuple(_entry(target, at) for at, target in enumerate(targets)))
+    entries: list[Entry] = []
+    faults: list[str] = []
+    unread: set[str] = set()
+    for at, target in enumerate(targets):
+        try:
+            entries.append(_entry(target, at))
+        except ListError as error:
+            faults.append(str(error))
+            uid = _uid(target)
+            if uid is None:
+                whole = False
+            elif (state := STATES.get(str(target.get("state")), "ready")) != "ready":
+                entries.append(
+                    Entry(uid, state, endpoint=None)
+                )  # whatever else it says: nothing new goes there
+            else:
+                unread.add(uid)
+    if whole:
+        entries, twice = _without_contradictions(entries)
+        faults += [f"targets: uid {uid!r} is listed twice; name each replica once" for uid in twice]
+        unread.update(twice)
+    update = RegistryUpdate(version, whole, tuple(entries), frozenset(unread))
+    return ListAnswer(update, tuple(faults))
+
+
+def _without_contradictions(entries: list[Entry]) -> tuple[list[Entry], list[str]]:
+    """A whole list's entries, and the uids named twice: of these only what takes them out of use is kept."""
+    twice = [uid for uid, count in Counter(entry.uid for entry in entries).items() if count > 1]
+    return [entry for entry in entries if entry.uid not in twice or entry.state != "ready"], twice
 
 
 def _number(target: dict[str, Any], name: str, default: float, at: int) -> float:
@@ -65,17 +107,24 @@
     return host.strip("[]"), int(port)
 
 
+def _uid(target: Any) -> str | None:
+    """The replica that an entry names, whatever else of it can't be read."""
+    uid = target.get("uid") if isinstance(target, dict) else None
+    return uid if isinstance(uid, str) and uid else None
+
+
 def _entry(target: Any, at: int) -> Entry:
     if not isinstance(target, dict):
         raise ListError(f"targets[{at}] is {target!r}")
-    state = STATES.get(_text(target, "state", at))
+    uid, named = _text(target, "uid", at), _text(target, "state", at)
+    state = STATES.get(named)
     if state is None:
-        raise ListError(f"targets[{at}].state is {target['state']!r}")
+        raise ListError(f"targets[{at}].state is {named!r}; it can be {', '.join(STATES)}")
     # An entry that is gone may have lost its address; every other must have one.
     endpoint = None if state == "gone" else decode_endpoint(_text(target, "endpoint", at))
     zone, kind = target.get("az", ""), target.get("model", "")
     return Entry(
-        uid=_text(target, "uid", at),
+        uid=uid,
         state=state,
         endpoint=endpoint,
         zone=zone if isinstance(zone, str) else "",
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from dataclasses import replace
 
 import structlog
 from tornado.iostream import IOStream, StreamClosedError
@@ -101,7 +102,12 @@
             patience = self.hold_ms / 1000 + GRACE if rev >= 0 else LIST_TIME
             try:
                 # The next watch has to come within 200 ms of the last answer: at once.
-                update = decode_list(await self._call(f"/discovery/hosts{wait}", patience))
+                answer = decode_list(await self._call(f"/discovery/hosts{wait}", patience))
+                update = answer.update
+                if answer.faults:
+                    # What could be read takes effect, and the same is asked for again.
+                    core.list_changed(replace(update, rev=rev))
+                    answer.complete()
                 if update.whole and not update.entries and core.registry.ready:
                     # Guards against a discovery that has lost its own list: all workers at once are not gone.
                     raise ListError(f"an empty list; the {core.registry.ready} workers in force stay")
