No answer that discovery has written is dropped: one owner for each service's connection

Three ways led there with the change already written, so already told: - `_exchange` gave up at its time (asyncio.timeout) in the very turn of the loop in which the answer was read from the socket: Task.cancel on a task whose read is done throws the bytes away; - `move` (SIGHUP) and `close` closed the old service's connection over an answer that lay in the kernel; - the same with half an answer there, whose rest came a moment later. The replica was then used on until the new address, or the repeat, brought the change: 1 to 6 s and more.

Ruled out: the half-close or reset of a reused connection (nothing is read that is not parsed first), answers in several pieces within their time, `Connection: close` behind an answer.

Change: `DiscoveryLink` owns the connection to one address and reads ahead on it (`ReadAhead`, which the connections to replicas use as well); reads are never cancelled, and at the end of its time a request first takes what has come. `Follower` owns one service: at a move the old one is asked nothing more and its last answer is still taken, without its version, before the new one's first list takes effect. After a silence or failure the next request does not wait (`hold_ms=0`), and a repeat does not begin the whole patience anew.

--- a/lockspoke/wire/discovery.py
+++ b/lockspoke/wire/discovery.py
@@ -1,4 +1,4 @@
-"""The replica list as discovery writes it."""
+"""Discovery's protocol: requests for the replica list, and their answers. No socket and no clock."""
 
 from __future__ import annotations
 
@@ -8,8 +8,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lockspoke.memory.registry import Entry, RegistryUpdate
+from lockspoke.memory.registry import UNKNOWN_VERSION, Entry, RegistryUpdate
 
+from .http1 import Data, End, HttpError, ResponseHead, ResponseParser
+
+LIST_PATH = "/discovery/hosts"
 LIST_LIMIT = 4 * 1024 * 1024  # bytes
 STATES = {"up": "ready", "draining": "draining", "removed": "gone"}
 
@@ -18,6 +21,26 @@
     """An answer, or a part of it, that cannot be read; the text names the field and what is wrong."""
 
 
+@dataclass(frozen=True, slots=True)
+class ListRequest:
+    """One request for the list."""
+
+    version: int  # for what has changed since; UNKNOWN_VERSION: for the whole list
+    hold_ms: int = 0  # for how long discovery may wait for a change
+
+    @property
+    def target(self) -> str:
+        """Its path and query."""
+        if self.version == UNKNOWN_VERSION:
+            return LIST_PATH
+        return f"{LIST_PATH}?from={self.version}&hold_ms={self.hold_ms}"
+
+    @property
+    def waits(self) -> bool:
+        """Whether it is a watch: the answer may take as long as nothing changes."""
+        return self.version != UNKNOWN_VERSION and self.hold_ms > 0
+
+
 @dataclass(frozen=True, slots=True)
 class ListAnswer:
     """What could be read of an answer, and what could not."""
@@ -32,6 +55,34 @@
         return self.update
 
 
+class AnswerReader:
+    """Reads one answer from its bytes, cut anywhere."""
+
+    def __init__(self) -> None:
+        self.begun = False  # whether any byte has come
+        self.reusable = False  # whether the connection can carry another request, once the answer is whole
+        self._parser = ResponseParser()
+        self._body = bytearray()
+        self._head: ResponseHead | None = None
+
+    def feed(self, data: bytes) -> bytes | None:
+        """The body once it is whole; raises HttpError, or ListError for a status that brings no list."""
+        self.begun = True
+        for piece in self._parser.feed(data):
+            if isinstance(piece, ResponseHead):
+                self._head = piece
+            elif isinstance(piece, Data):
+                self._body += piece.data
+                if len(self._body) > LIST_LIMIT:
+                    raise HttpError(502, f"a list of more than {LIST_LIMIT} bytes")
+            elif isinstance(piece, End) and self._head is not None:
+                self.reusable = self._head.keep_alive and self._parser.clean
+                if self._head.status != 200:
+                    raise ListError(f"status {self._head.status}")
+                return bytes(self._body)
+        return None
+
+
 def decode_list(text: bytes) -> ListAnswer:
     """Read the body of an answer; raises ListError where nothing of it can be used."""
     try:
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -1,188 +1,203 @@
-"""The driver of discovery: one watch after another, on one connection."""
+"""Discovery as the source of the replica list: one request after another, at one address after another."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
+from collections.abc import Callable
 from dataclasses import replace
 
 import structlog
-from tornado.iostream import IOStream, StreamClosedError
 
 from lockspoke.memory.core import Core
+from lockspoke.memory.registry import UNKNOWN_VERSION, Registry
 
-from .closing import quiet
-from .discovery import LIST_LIMIT, ListError, decode_list
-from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
+from .dialing import Dial, Endpoint, dial
+from .discovery import ListAnswer, ListError, ListRequest, decode_list
+from .discovery_link import DiscoveryLink, RequestError, WatchLostError
 
 HOLD_MS = 8000
 SPREAD_MS = 4000  # over which the holds of all gateways are spread: a change makes them all ask anew at once
-GRACE = 0.4  # seconds past the hold: 2 s past it what a silent watch has missed counts as told
-LIST_TIME = 1.5  # seconds for a call that may not wait: one that discovery can't serve in time ends in a 503
-CONNECT = 1.0  # seconds
-SILENT_TRIES = 2  # calls in a row that may fall silent before the service counts as failing
+NOTHING_NEW_PAUSE = 0.1  # seconds before a watch that brought nothing, and too soon, is repeated
 
 log = structlog.get_logger()
 
 
-class CallError(Exception):
-    """A call for the list has failed."""
-
-
-class SilentError(CallError):
-    """A call that was taken, and past its time no answer has come."""
-
-
 def hold_of(index: int, gateways: int) -> int:
-    """How long this gateway lets a call wait, in milliseconds: each of many a little longer than another."""
+    """How long this gateway lets a watch wait, in milliseconds: each of many a little longer than another."""
     return HOLD_MS - SPREAD_MS // 2 + SPREAD_MS * (index % gateways) // gateways
 
 
 class DiscoveryWatch:
-    """Asks discovery for changes for as long as the calls succeed."""
+    """The list as discovery has it: the service in use is followed, a former one to its last answer."""
 
-    def __init__(self, endpoint: tuple[str, int], hold_ms: int = HOLD_MS) -> None:
+    def __init__(self, endpoint: Endpoint, hold_ms: int = HOLD_MS, dial: Dial = dial) -> None:
         self.endpoint = endpoint
         self.hold_ms = hold_ms
         self.core: Core | None = None
-        self._stream: IOStream | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._dial = dial
+        self._current: Follower | None = None
+        self._former: list[Follower] = []
         self._failing = False
 
+    def _followers(self) -> list[Follower]:
+        return [*self._former, self._current] if self._current is not None else self._former
+
     def watch(self, enable: bool) -> None:
         """Begin to watch, or end that; a watch that runs goes on."""
-        running = self._task is not None and not self._task.done()
-        if enable and not running:
-            self._task = asyncio.ensure_future(self._run())
-        elif not enable and self._task is not None:
+        if not enable:
             self.close()
+        elif self._current is None:
+            link = DiscoveryLink(self.endpoint, self._dial)
+            self._current = Follower(link, self, self._is_over)
+
+    def move(self, endpoint: Endpoint) -> None:
+        """Watch at another address from now on: at once, since the old one may close any moment.
 
-    def move(self, endpoint: tuple[str, int]) -> None:
-        """Watch at another address from now on: at once, since the old one may close any moment."""
+        What the old service has written, or is about to, counts as told, so its last answer is still taken.
+        """
         assert self.core is not None
         log.info("discovery_moved", host=endpoint[0], port=endpoint[1])
-        self.close()
+        if self._current is not None and self._current.retire():
+            self._former.append(self._current)
+        self._current = None
         self.endpoint = endpoint
-        # Versions are the word of the service that gave them: the first call there asks for the whole list.
-        self.core.registry.rev = -1
+        # Versions are the word of the service that gave them: the first request asks for the whole list.
+        self.core.registry.rev = UNKNOWN_VERSION
         self.watch(True)
 
     def close(self) -> None:
         """End the watch."""
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
-        self._hang_up()
+        for follower in self._followers():
+            follower.close()
+        self._current, self._former = None, []
+
+    # What followers say
+
+    async def settle_former(self, follower: Follower) -> None:
+        """Before the service in use has its first word: those left behind have had their last one."""
+        if follower is not self._current:
+            return
+        while any(former.unread for former in self._former):
+            await asyncio.sleep(0)
+        for former in self._former:
+            former.close()
+        self._former = []
+
+    def take(self, follower: Follower, answer: ListAnswer) -> None:
+        """An answer takes effect; raises ListError if it could not be read as a whole."""
+        core, update = self.core, answer.update
+        assert core is not None
+        if follower is not self._current or answer.faults:
+            # Its version says nothing about this service's list, or more of this version has to be asked for.
+            update = replace(update, rev=core.registry.rev)
+        if update.entries or update.whole:
+            log.info("registry_changed", rev=update.rev, whole=update.whole, entries=len(update.entries))
+        if self._failing and not answer.faults:
+            log.info("discovery_back", rev=update.rev)
+            self._failing = False
+        core.list_changed(update)
+        answer.complete()
+
+    def _is_over(self, follower: Follower, reason: str | None) -> None:
+        """A follower has ended; with a reason, it failed: the decisions say when to ask again."""
+        if follower is not self._current:
+            self._former = [one for one in self._former if one is not follower]
+            return
+        self._current = None
+        if reason is not None and self.core is not None:
+            self.doubt(reason)
+            self.core.list_failed()
+
+    def doubt(self, reason: str) -> None:
+        """Discovery does not answer as it should; told once until it does."""
+        if not self._failing:
+            log.warning("discovery_failing", reason=reason)
+        self._failing = True
+
+
+class Follower:
+    """Follows the list of one service until a request fails, or to its present answer if it is retired."""
+
+    def __init__(
+        self, link: DiscoveryLink, watch: DiscoveryWatch, is_over: Callable[[Follower, str | None], None]
+    ) -> None:
+        self._link = link
+        self._watch = watch
+        self._is_over = is_over
+        self._retired = False
+        self._taking = False  # an answer has been read, and is not in force yet
+        self._task = asyncio.ensure_future(self._run())
+
+    @property
+    def unread(self) -> bool:
+        """Whether the service has written what is not in force yet."""
+        return self._taking or self._link.unread
+
+    def retire(self) -> bool:
+        """Ask nothing more; whether an answer is still awaited. If none is, this is the end."""
+        self._retired = True
+        if not self.unread and not self._link.awaiting:
+            self.close()
+            return False
+        return True
+
+    def close(self) -> None:
+        """End at once."""
+        self._task.cancel()
+        self._link.close()
 
     async def _run(self) -> None:
-        core = self.core
-        assert core is not None
+        reason = None
         try:
-            await self._follow(core)
+            await self._follow()
+        except (RequestError, ListError) as error:
+            reason = str(error)
         except Exception:
             # A fault of ours: the list may be half taken; nobody asks again after a watch that just ended.
             log.exception("watch_failed")
-            core.registry.rev = -1
-            self._failed(core, "a fault of the gateway; see watch_failed")
-
-    def _failed(self, core: Core, reason: str) -> None:
-        """The watch is over: the decisions say when to ask again."""
-        self._hang_up()
-        if not self._failing:
-            log.warning("discovery_failing", reason=reason)
-        self._failing, self._task = True, None
-        core.list_failed()
-
-    async def _follow(self, core: Core) -> None:
-        """One call after another, until one fails."""
-        silent = 0
-        while True:
-            rev = core.registry.rev
-            wait = f"?from={rev}&hold_ms={self.hold_ms}" if rev >= 0 else ""
-            patience = self.hold_ms / 1000 + GRACE if rev >= 0 else LIST_TIME
+            self._replicas.rev = UNKNOWN_VERSION
+            reason = "a fault of the gateway; see watch_failed"
+        self._link.close()
+        self._is_over(self, reason)
+
+    async def _follow(self) -> None:
+        loop = asyncio.get_running_loop()
+        may_wait = (
+            False  # only after an answer in order: how discovery is, a request that doesn't wait shows sooner
+        )
+        while not self._retired:
+            request = ListRequest(self._replicas.rev, self._watch.hold_ms if may_wait else 0)
+            asked_at = loop.time()
             try:
-                # The next watch has to come within 200 ms of the last answer: at once.
-                answer = decode_list(await self._call(f"/discovery/hosts{wait}", patience))
-                update = answer.update
-                if answer.faults:
-                    # What could be read takes effect, and the same is asked for again.
-                    core.list_changed(replace(update, rev=rev))
-                    answer.complete()
-                if update.whole and not update.entries and core.registry.ready:
-                    # Guards against a discovery that has lost its own list: all workers at once are not gone.
-                    raise ListError(f"an empty list; the {core.registry.ready} workers in force stay")
-            except (CallError, ListError) as error:
-                silent += 1
-                if isinstance(error, SilentError) and silent <= SILENT_TRIES:
-                    # Such a watch is broken, and its changes count as told soon: no pause as after a failure.
-                    log.info("discovery_silent", reason=str(error))
-                    self._hang_up()
-                    continue
-                self._failed(core, str(error))
-                return
-            silent = 0
-            if self._failing:
-                log.info("discovery_back", rev=update.rev)
-            self._failing = False
-            if update.entries:
-                log.info("registry_changed", rev=update.rev, whole=update.whole, entries=len(update.entries))
-            core.list_changed(update)
-
-    async def _call(self, target: str, patience: float) -> bytes:
-        reused = self._stream is not None and not self._stream.closed()
-        try:
+                body = await self._link.ask(request)
+            except WatchLostError as lost:
+                log.info("discovery_silent", reason=str(lost))
+                may_wait = False
+                continue
+            self._taking = True
             try:
-                return await self._exchange(target, patience)
-            except StreamClosedError:
-                if not reused:
-                    raise
-                # Discovery closed the connection between two calls: that is no failure of a call.
-                self._hang_up()
-                return await self._exchange(target, patience)
-        except (StreamClosedError, HttpError, OSError) as error:
-            raise CallError(f"{type(error).__name__}: {error}") from None
-
-    async def _exchange(self, target: str, patience: float) -> bytes:
-        """One call: `patience` is how many seconds its answer may take, from when the call is written."""
-        stream = await self._connected()
-        try:
-            async with asyncio.timeout(patience):
-                await stream.write(encode_request("GET", target, {"Host": "{}:{}".format(*self.endpoint)}))
-                return await self._answer(stream)
-        except TimeoutError:
-            raise SilentError(f"no answer within {patience:g} s") from None
-
-    async def _connected(self) -> IOStream:
-        if self._stream is not None and not quiet(self._stream):
-            # Guards against an end that has come, and against what nobody asked for: each later call would
-            # take the answer to the one before it, and hear of every change a call too late.
-            self._hang_up()
-        if self._stream is None or self._stream.closed():
-            family = socket.AF_INET6 if ":" in self.endpoint[0] else socket.AF_INET
-            self._stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
-            self._stream.set_nodelay(True)
-            async with asyncio.timeout(CONNECT):
-                await self._stream.connect(self.endpoint)
-        return self._stream
-
-    async def _answer(self, stream: IOStream) -> bytes:
-        parser, body, head = ResponseParser(), bytearray(), None
-        while True:
-            for piece in parser.feed(await stream.read_bytes(65536, partial=True)):
-                if isinstance(piece, ResponseHead):
-                    head = piece
-                elif isinstance(piece, Data):
-                    body += piece.data
-                    if len(body) > LIST_LIMIT:
-                        raise HttpError(502, "list too large")
-                elif isinstance(piece, End) and head is not None:
-                    if not (head.keep_alive and parser.clean):
-                        self._hang_up()
-                    if head.status != 200:
-                        raise CallError(f"status {head.status}")
-                    return bytes(body)
-
-    def _hang_up(self) -> None:
-        if self._stream is not None:
-            self._stream.close()
-            self._stream = None
+                await self._watch.settle_former(self)
+                answer = decode_list(body)
+                may_wait = self._believed(answer)
+                if may_wait:
+                    self._watch.take(self, answer)
+            finally:
+                self._taking = False
+            if request.waits and answer.update.rev == request.version:
+                # Guards against a service that answers at once, again and again.
+                early = loop.time() - asked_at < request.hold_ms / 2000
+                await asyncio.sleep(NOTHING_NEW_PAUSE if early else 0)
+
+    @property
+    def _replicas(self) -> Registry:
+        assert self._watch.core is not None
+        return self._watch.core.registry
+
+    def _believed(self, answer: ListAnswer) -> bool:
+        """Whether an answer can take effect as it is."""
+        update = answer.update
+        empty = update.whole and not update.entries and self._replicas.ready > 0
+        if empty:
+            # Guards against a discovery that has lost its own list: all replicas at once are not gone.
+            raise ListError(f"an empty list; the {self._replicas.ready} replicas in force stay")
+        return True
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
@@ -15,14 +14,14 @@
 from lockspoke.memory.calls import Attempt
 from lockspoke.memory.registry import Worker
 
-from .closing import quiet
+from .dialing import Dial, dial
 from .fields import decode_load
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser, encode_request
 from .keepalive import SHORTEST, KeepAlive
+from .read_ahead import ReadAhead
 from .sse import EventStream, StreamError
 
 MS = 1_000_000
-READ = 16 * 1024
 OPENING = 1.0  # seconds from an answer's first byte to its first event: both come with the first token
 SETTLE = 0.01  # seconds in which what a worker sends behind an answer shows, before the connection is reused
 IDLE_SHARE = 0.8  # of the time after which a worker closes an idle connection: ours closes before
@@ -48,29 +47,21 @@
     reusable: bool = False  # whether the connection can take another request
 
 
-class Connection:
-    """A connection to one worker. A read is always pending, so that its end is noticed while it is idle."""
+class Connection(ReadAhead):
+    """A connection to one worker."""
 
     def __init__(self, worker: Worker, stream: IOStream) -> None:
+        super().__init__(stream)
         self.worker = worker
         self.endpoint = worker.endpoint
-        self.stream = stream
         self.idle_since = 0.0
         self.stood = 0.0  # how long it had stood idle when it was taken for an attempt
         self.answering = False  # whether a byte of the present answer has come
-        self.pending: asyncio.Future[bytes] = self._read()
-
-    def _read(self) -> asyncio.Future[bytes]:
-        pending = asyncio.ensure_future(self.stream.read_bytes(READ, partial=True))
-        # An end while idle is nobody's error: it must not be reported as one that was never looked at.
-        pending.add_done_callback(lambda done: done.cancelled() or done.exception())
-        return pending
 
     async def read(self) -> bytes:
         """The next bytes."""
-        data = await self.pending
+        data = await super().read()
         self.answering = True
-        self.pending = self._read()
         return data
 
 
@@ -84,7 +75,9 @@
         keepalive: int,
         most: int,
         now: Callable[[], int],
+        dial: Dial = dial,
     ) -> None:
+        self.dial = dial
         self.reconfigure(load_names, connect_timeout, keepalive, most)
         self.now = now
         self.open = 0
@@ -118,7 +111,7 @@
     def unread(self, attempt: Attempt) -> bool:
         """Whether bytes of an answer, or its end, have come that its task has not taken yet."""
         connection = self.exchanges.get(attempt)
-        return connection is not None and (connection.pending.done() or not quiet(connection.stream))
+        return connection is not None and connection.unread
 
     def forget(self, worker: Worker) -> None:
         """Close the idle connections to a worker."""
@@ -232,7 +225,7 @@
         settled = asyncio.get_running_loop().time() - SETTLE
         for connection in [one for one in reversed(connections) if one.idle_since <= settled]:
             connections.remove(connection)
-            if not connection.pending.done() and quiet(connection.stream):
+            if not connection.unread:
                 connection.stood = asyncio.get_running_loop().time() - connection.idle_since
                 connection.answering = False
                 return connection
@@ -242,18 +235,11 @@
         if worker.endpoint is None:
             raise ConnectError
         self.open += 1
-        family = socket.AF_INET6 if ":" in worker.endpoint[0] else socket.AF_INET
-        stream = None
         try:
-            stream = IOStream(socket.socket(family, socket.SOCK_STREAM), read_chunk_size=READ)
-            stream.set_nodelay(True)
             async with asyncio.timeout(self.connect_timeout):
-                await stream.connect(worker.endpoint)
-            return Connection(worker, stream)
+                return Connection(worker, await self.dial(worker.endpoint))
         except BaseException as error:
             self.open -= 1
-            if stream is not None:
-                stream.close()
             if isinstance(error, OSError | StreamClosedError | TimeoutError):
                 raise ConnectError from None
             raise
--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -8,12 +8,14 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
 
 from lockspoke.wire.clients import ClientConnection
+from lockspoke.wire.discovery_link import GRACE
 from lockspoke.wire.watch import DiscoveryWatch
 from lockspoke.wire.workers import SETTLE
 from tests.peers import Gateway, Line, Peer
@@ -119,6 +121,50 @@
     return client
 
 
+def test_an_answer_that_has_come_as_its_time_ends_is_taken() -> None:
+    """Its bytes were read, and the call that they answered was given up in the same turn of the loop."""
+
+    async def test(scene: Scene) -> None:
+        line = await scene.watching()
+        held = asyncio.get_running_loop().time() + SHORT_HOLD_MS / 1000 + GRACE + 0.05
+        while asyncio.get_running_loop().time() < held - 0.1:
+            await asyncio.sleep(0.01)
+        line.send(scene.drain_of_the_first)
+        time.sleep(max(0.0, held - asyncio.get_running_loop().time()))
+        await until(lambda: scene.gateway.registry.rev == 2)
+        assert scene.state("w0") == "draining"
+
+    play(test, hold_ms=SHORT_HOLD_MS)
+
+
+def test_a_drain_that_was_told_as_discovery_moved_is_taken() -> None:
+    """The old service had written it, and it was dropped with its connection; the new one may be slow."""
+
+    async def test(scene: Scene) -> None:
+        line, slow = await scene.watching(), Peer()
+        line.send(scene.drain_of_the_first)
+        scene.watch.move(slow.endpoint)
+        taken = await slow.accept()
+        assert b"from=" not in await taken.read(b"\r\n\r\n"), "versions are each service's own"
+        await until(lambda: scene.state("w0") == "draining")
+        assert scene.gateway.registry.rev == -1
+
+    play(test)
+
+
+def test_an_answer_that_was_half_written_as_discovery_moved_is_taken() -> None:
+    async def test(scene: Scene) -> None:
+        line, slow = await scene.watching(), Peer()
+        half = len(scene.drain_of_the_first) // 2
+        line.send(scene.drain_of_the_first[:half])
+        scene.watch.move(slow.endpoint)
+        await (await slow.accept()).read(b"\r\n\r\n")
+        line.send(scene.drain_of_the_first[half:])
+        await until(lambda: scene.state("w0") == "draining")
+
+    play(test)
+
+
 @pytest.mark.parametrize("bad", [{"uid": 5}, {"uid": "w1", "state": "odd"}, 7, {"uid": "w1", "state": "up"}])
 def test_a_drain_beside_an_entry_that_cannot_be_read_is_taken(bad: Any) -> None:
     """One bad entry made the whole answer void, its good drains included."""
