An answer of discovery with a lower version puts nothing back into use

Cause: the watch took the version of each answer as it came. An older answer (a copy of discovery that lags, an answer kept on the way) put a drained replica back into use, and the next request was for changes since that older version. A service begun anew with lower versions answered a watch only at its end, and what it had changed up to there was never asked for.

Ruled out: answers out of turn on one connection (one request at a time, and bytes behind an answer close it); the configured list's version, which is compared in the same way.

Change: of an answer whose version is lower than the one that was asked from, only drains and removals take effect, and the whole list is asked for at once. What that says is the service's own word, whatever its version.

Tests: two in test_drain_rule.py, both fail without the change.

--- a/lockspoke/wire/discovery.py
+++ b/lockspoke/wire/discovery.py
@@ -5,7 +5,7 @@
 import json
 import math
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from lockspoke.memory.registry import UNKNOWN_VERSION, Entry, RegistryUpdate
@@ -130,6 +130,12 @@
     return ListAnswer(update, tuple(faults))
 
 
+def out_of_use_only(update: RegistryUpdate) -> RegistryUpdate:
+    """The part of an update that can lead to no send: drains and removals that it names."""
+    entries = tuple(entry for entry in update.entries if entry.state != "ready")
+    return replace(update, rev=UNKNOWN_VERSION, whole=False, entries=entries)
+
+
 def _without_contradictions(entries: list[Entry]) -> tuple[list[Entry], list[str]]:
     """A whole list's entries, and the uids named twice: of these only what takes them out of use is kept."""
     twice = [uid for uid, count in Counter(entry.uid for entry in entries).items() if count > 1]
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -18,7 +18,7 @@
 from lockspoke.memory.registry import UNKNOWN_VERSION, Registry
 
 from .dialing import Dial, Endpoint, dial
-from .discovery import ListAnswer, ListError, ListRequest, decode_list
+from .discovery import ListAnswer, ListError, ListRequest, decode_list, out_of_use_only
 from .discovery_link import DiscoveryLink, RequestError, WatchLostError
 
 HOLD_MS = 1500  # the shortest hold: how long a watch waits for a change
@@ -186,7 +186,7 @@
             try:
                 await self._watch.settle_former(self)
                 answer = decode_list(body)
-                may_wait = self._believed(answer)
+                may_wait = self._believed(request, answer)
                 if may_wait:
                     self._watch.take(self, answer)
             finally:
@@ -201,9 +201,15 @@
         assert self._watch.core is not None
         return self._watch.core.registry
 
-    def _believed(self, answer: ListAnswer) -> bool:
-        """Whether an answer can take effect as it is."""
+    def _believed(self, request: ListRequest, answer: ListAnswer) -> bool:
+        """Whether an answer can take effect as it is; if not, the whole list is asked for next, at once."""
         update = answer.update
+        if request.version != UNKNOWN_VERSION and update.rev < request.version:
+            # An answer from before the last one, or a service begun anew: what it puts into use may be long
+            # past, and what has changed since can't be told from it.
+            log.info("discovery_went_back", asked=request.version, rev=update.rev)
+            self._watch.take(self, replace(answer, update=out_of_use_only(update)))
+            return False
         empty = update.whole and not update.entries and self._replicas.ready > 0
         if empty:
             # Guards against a discovery that has lost its own list: all replicas at once are not gone.
--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -176,3 +176,32 @@
         assert scene.gateway.registry.rev == 1, "the same is asked for again"
 
     play(test)
+
+
+def test_an_answer_older_than_the_last_puts_no_drained_replica_back() -> None:
+    """Its version was taken as it came, and what it listed with it; the whole list is asked for instead."""
+
+    async def test(scene: Scene) -> None:
+        line = await scene.watching()
+        line.send(scene.drain_of_the_first)
+        await line.read(b"from=2&")
+        line.send(answer(1, target("w0", scene.first), target("w1", scene.second), whole=True))
+        assert b"from=" not in await line.read(b"\r\n\r\n")
+        assert scene.state("w0") == "draining" and scene.state("w1") == "ready"
+        line.send(answer(1, target("w0", scene.first), target("w1", scene.second), whole=True))
+        await line.read(b"from=1&")
+        assert scene.state("w0") == "ready", "said as the whole list, it is the service's own word"
+
+    play(test)
+
+
+def test_a_service_begun_anew_with_lower_versions_is_asked_for_its_whole_list() -> None:
+    """What it had changed up to that version was never asked for."""
+
+    async def test(scene: Scene) -> None:
+        line = await scene.watching()
+        line.send(answer(0, target("w1", scene.second, "draining")))
+        assert b"from=" not in await line.read(b"\r\n\r\n")
+        assert scene.state("w1") == "draining"
+
+    play(test)
--- a/tests/wire/test_wire_fields.py
+++ b/tests/wire/test_wire_fields.py
@@ -10,7 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lockspoke.wire.discovery import STATES, ListError, decode_list
+from lockspoke.memory.registry import UNKNOWN_VERSION
+from lockspoke.wire.discovery import STATES, ListError, decode_list, out_of_use_only
 from lockspoke.wire.fields import decode_call, decode_load
 from lockspoke.wire.http1 import Headers, HttpError
 from lockspoke.wire.sse import EVENT_LIMIT, LINE_LIMIT, EventStream, StreamError
@@ -186,6 +187,12 @@
     assert answer.faults
 
 
+def test_of_an_older_answer_only_what_takes_replicas_out_of_use_is_kept() -> None:
+    update = decode_list(a_list(TARGET, TARGET | {"uid": "s-2", "state": "draining"})).complete()
+    kept = out_of_use_only(update)
+    assert [entry.uid for entry in kept.entries] == ["s-2"] and not kept.whole and kept.rev == UNKNOWN_VERSION
+
+
 @fixed
 @given(
     st.binary(max_size=50)
