An empty whole list is believed once discovery has said it twice

Cause: an empty list was refused for as long as it came, with pauses of a failed request between. By the protocol a replica that a whole list does not name is gone, and that is told as it is written: for an empty one the rule on drains had no bound at all.

Change: the first one is doubted (`discovery_failing`), so that one bad moment of discovery ends no service, and the whole list is asked for at once, within the grace where discovery answers; a second in a row is obeyed.

Ruled out: to believe the first (a service that restarts may say it before it knows its replicas), and to doubt it for a time (the rule gives 250 ms).

Tests: test_a_drain_that_a_list_contradicts_and_an_empty_list_said_twice_are_obeyed fails without the change. test_lists_that_cannot_be_believed gave the empty list for as long as the test ran and wanted the replicas used; by the rule that is a send to a replica told gone, so discovery now gives it once.

--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -133,6 +133,7 @@
         self._watch = watch
         self._is_over = is_over
         self._retired = False
+        self._empty_before = False  # whether the last answer was a whole list with nobody in it
         self._taking = False  # an answer has been read, and is not in force yet
         self._task = asyncio.ensure_future(self._run())
 
@@ -211,7 +212,11 @@
             self._watch.take(self, replace(answer, update=out_of_use_only(update)))
             return False
         empty = update.whole and not update.entries and self._replicas.ready > 0
-        if empty:
-            # Guards against a discovery that has lost its own list: all replicas at once are not gone.
-            raise ListError(f"an empty list; the {self._replicas.ready} replicas in force stay")
+        if empty and not self._empty_before:
+            # Guards against one bad moment of discovery: all replicas are gone only if it says so twice.
+            self._empty_before = True
+            self._watch.doubt("an empty list; asked for again before it is believed")
+            self._replicas.rev = UNKNOWN_VERSION
+            return False
+        self._empty_before = False
         return True
