What lies unread from discovery or the client is taken before an attempt's first byte

Cause: a change is told, and a client is gone, from when it was written. While the loop is held (a burst of clients, a large list, a collection), the drain or the close lies in the socket's buffer; once it goes on, tasks that are ready run first, and an attempt over a kept connection was written with the drain or the close unread. Nothing bounded the time from readable to applied.

Followed with real connections: discovery writes the drain of the replica that a request has just been decided for, the loop is held for 0.3 s, and the request goes to that replica 0.3 s after the drain was told (the grace is 0.25 s).

Ruled out: a connection that is just being dialled (its loop turns let the watch read first, if not held again), an await between the check and the write (there is none; the write goes out in the same step).

Change: `Core.clear`, the one way to a first byte for every front, retry and second copy, has three answers: send, over, or ask again, the last while discovery's or the client's connection holds bytes that are not in force yet. The attempt then lets the loop go round, and is decided anew. Where nothing lies unread it costs two looks at a socket.

--- a/lockspoke/inventory/source.py
+++ b/lockspoke/inventory/source.py
@@ -88,6 +88,11 @@
 
     # Start
 
+    @property
+    def changes_unread(self) -> bool:
+        """Files are told of once they are read: nothing lies between."""
+        return False
+
     def first(self) -> RegistryUpdate | None:
         """The list to begin with: the kept one, where a folder lasts, brought up to what the files say now.
 
--- a/lockspoke/lifecycle/parts.py
+++ b/lockspoke/lifecycle/parts.py
@@ -34,6 +34,10 @@
     def first(self) -> RegistryUpdate | None:
         """The list to begin with, if there is one now; raises ConfigError where none can be had at all."""
 
+    @property
+    def changes_unread(self) -> bool:
+        """Whether changes have come that are not in force yet."""
+
     def watch(self, enable: bool) -> None:
         """Tell the core of changes from now on, or end that; asked again while it does, nothing changes."""
 
--- a/lockspoke/memory/batch_runner.py
+++ b/lockspoke/memory/batch_runner.py
@@ -84,6 +84,11 @@
         if not self.answer.done():
             self.answer.set_result(answer)
 
+    @property
+    def unread(self) -> bool:
+        """No client waits on a connection."""
+        return False
+
     def event(self, data: bytes) -> None:
         """Collect a piece."""
         if self.collector is not None:
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -18,6 +18,10 @@
 class Sink(Protocol):
     """Where the answer to a call goes. Exactly one of `end`, `broken`, `refuse` and `fail` is called."""
 
+    @property
+    def unread(self) -> bool:
+        """Whether the client has sent what is not read yet, such as its close."""
+
     def event(self, data: bytes) -> asyncio.Future[None] | None:
         """Pass on a piece of the stream; a future asks for no more until it is done."""
 
@@ -84,11 +88,19 @@
     STREAMING = "streaming"  # its stream is the call's answer
 
 
+class Clearance(Enum):
+    """What an attempt whose connection is up may do."""
+
+    SEND = "send"  # its first byte goes out now, with nothing awaited in between
+    ASK_AGAIN = "ask again"  # something has come that is not read yet: it asks once the loop has gone round
+    OVER = "over"  # it has ended; nothing more is to be reported
+
+
 class Reports(Protocol):
     """What an attempt tells the core."""
 
-    def begins(self, attempt: Attempt) -> bool:
-        """Its connection is up: whether the first byte may go out now; if not, the attempt is over."""
+    def clear(self, attempt: Attempt) -> Clearance:
+        """Its connection is up: whether the first byte may go out now."""
 
     def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
         """Bytes of the worker's stream."""
@@ -128,9 +140,9 @@
         """Whether the worker may have run it: something of it was sent, and no outcome proves it did not."""
         return self.stage is not Stage.CONNECTING and self.outcome not in NEVER_RAN
 
-    def begins(self) -> bool:
-        """Its connection is up: whether to send it. After a no nothing more is to be reported."""
-        return self.reports.begins(self)
+    def clear(self) -> Clearance:
+        """Its connection is up: whether to send it."""
+        return self.reports.clear(self)
 
     def streamed(self, data: bytes) -> asyncio.Future[None] | None:
         """Bytes of the worker's stream have come."""
@@ -160,5 +172,9 @@
 class Discovery(Protocol):
     """The core's way to the list of workers."""
 
+    @property
+    def changes_unread(self) -> bool:
+        """Whether changes have come that are not in force yet."""
+
     def watch(self, enable: bool) -> None:
         """Ask for changes from now on; asked again while a watch runs, it changes nothing."""
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -16,7 +16,7 @@
 from hillridge import Balancer
 from hillridge import interface as api
 
-from .calls import Attempt, Call, Discovery, Stage, Workers
+from .calls import Attempt, Call, Clearance, Discovery, Stage, Workers
 from .registry import Registry, RegistryUpdate
 
 MS = 1_000_000
@@ -192,22 +192,26 @@
 
     # What attempts say
 
-    def begins(self, attempt: Attempt) -> bool:
+    def clear(self, attempt: Attempt) -> Clearance:
         """Its connection is up: whether its first byte may go out now.
 
         Connecting takes its time, and what was decided before may not hold any more: the client has left,
         the worker was told to drain or has begun anew, the time in which a repeat does no harm has passed.
+        A busy loop reads late, so what lies unread from discovery or the client is taken first: both count
+        from when they were written. This is the one way to a first byte, for every attempt of every front.
         """
         now, call, worker = self.timers.now(), attempt.call, attempt.worker
         if attempt.outcome is not None:
-            return False
+            return Clearance.OVER
         late = now >= attempt.deadline or (attempt.begin_by and now >= attempt.begin_by)
         moved = worker.place != attempt.place or not self.registry.takes(worker)
         if call.answered or call.owner is not None or late or moved:
             self.ended(attempt, api.Outcome.MOOT)
-            return False
+            return Clearance.OVER
+        if self.discovery.changes_unread or call.sink.unread:
+            return Clearance.ASK_AGAIN
         attempt.stage = Stage.SENT
-        return True
+        return Clearance.SEND
 
     def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
         """A piece of a stream: the first makes the call this attempt's, all pass on as they come."""
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -14,6 +14,7 @@
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import key_number
 
+from .closing import quiet
 from .fields import decode_call
 from .http1 import (
     Gatherer,
@@ -323,6 +324,11 @@
         self.begun = False
         self.keep = False
 
+    @property
+    def unread(self) -> bool:
+        """Whether the client has sent what is not read yet, such as its close."""
+        return not quiet(self.connection.stream)
+
     def event(self, data: bytes) -> asyncio.Future[None] | None:
         """Pass a piece on at once, head and all."""
         piece = encode_chunk(data) if self.chunked else data
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -47,6 +47,11 @@
         self._former: list[Follower] = []
         self._failing = False
 
+    @property
+    def changes_unread(self) -> bool:
+        """Whether discovery has written what is not in force yet."""
+        return any(follower.unread for follower in self._followers())
+
     def _followers(self) -> list[Follower]:
         return [*self._former, self._current] if self._current is not None else self._former
 
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -11,7 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from hillridge.interface import Outcome
-from lockspoke.memory.calls import Attempt
+from lockspoke.memory.calls import Attempt, Clearance
 from lockspoke.memory.registry import Worker
 
 from .dialing import Dial, dial
@@ -138,7 +138,9 @@
         try:
             connection = await self._acquire(attempt.worker)
             attempt.reused = connection.stood > 0.0
-            if not attempt.begins():
+            while (clearance := attempt.clear()) is Clearance.ASK_AGAIN:
+                await asyncio.sleep(0)
+            if clearance is Clearance.OVER:
                 self._release(connection)
                 connection = None
                 return
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hillridge.interface import Effect, Outcome, RequestClass, Scope
-from lockspoke.memory.calls import Attempt, Call
+from lockspoke.memory.calls import Attempt, Call, Clearance
 from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
 from lockspoke.memory.numbers import Numbers, key_number
 from lockspoke.memory.registry import Entry, Registry, RegistryUpdate, Worker
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         self.got: list[Any] = []
         self.waits: asyncio.Future[None] | None = None
+        self.unread = False  # whether the client has sent what is not read yet
 
     def event(self, data: bytes) -> asyncio.Future[None] | None:
         self.got.append(data)
@@ -58,6 +59,7 @@
         self.forgotten: list[Worker] = []
         self.watches: list[bool] = []
         self.connects = True  # whether connections come up at once
+        self.changes_unread = False  # whether discovery has written what is not in force yet
         self.more: set[Attempt] = set()  # of whose answers more has come than is passed on
         self.core = Core(settings(**changes), 7, Registry(Numbers(), ["z"]), self, self, self)
         entries = tuple(Entry(f"w{i}", "ready", ("127.0.0.1", 5000 + i), "z") for i in range(workers))
@@ -73,7 +75,7 @@
     def start(self, attempt: Attempt) -> None:
         self.started.append(attempt)
         if self.connects:
-            assert attempt.begins()
+            assert attempt.clear() is Clearance.SEND
 
     def unread(self, attempt: Attempt) -> bool:
         return attempt in self.more
@@ -282,7 +284,7 @@
     attempt = world.started[0]
     happens(world, call)
     assert attempt.outcome is None
-    assert not attempt.begins() and attempt.outcome is Outcome.MOOT
+    assert attempt.clear() is Clearance.OVER and attempt.outcome is Outcome.MOOT
     # The one whose client still waits goes elsewhere at once.
     others = [one.worker for one in world.started[1:]]
     assert len(others) == (happens is not left) and attempt.worker not in others
@@ -299,7 +301,7 @@
     repeat = world.started[1]
     assert repeat.begin_by == repeat.sent_at + 60 * MS
     world.pass_time(60 * MS)
-    assert not repeat.begins() and repeat.outcome is Outcome.MOOT
+    assert repeat.clear() is Clearance.OVER and repeat.outcome is Outcome.MOOT
 
 
 def test_an_attempt_whose_time_ends_while_it_connects_has_not_run() -> None:
@@ -468,6 +470,19 @@
     assert {attempt.worker.uid for attempt in world.started} == {"w1"}
 
 
+def test_an_attempt_waits_for_what_lies_unread_from_discovery_or_its_client() -> None:
+    world = World()
+    world.connects = False
+    _, sink = world.call()
+    (attempt,) = world.started
+    world.changes_unread = True
+    assert attempt.clear() is Clearance.ASK_AGAIN
+    world.changes_unread, sink.unread = False, True
+    assert attempt.clear() is Clearance.ASK_AGAIN and attempt.outcome is None
+    sink.unread = False
+    assert attempt.clear() is Clearance.SEND
+
+
 def test_a_full_list_drops_what_it_does_not_name() -> None:
     world = World()
     world.core.list_changed(RegistryUpdate(3, True, (Entry("w1", "ready", ("127.0.0.1", 9), "z"),)))
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -108,6 +108,7 @@
         self.core = Core(told, 7, self.registry, timers, self.workers, discovery or self)
         self.front = ClientFront(self.core, {"docs": 0}, 64, 48_000_000, lambda: True)
         self.rev = 0
+        self.changes_unread = False  # what it tells is in force at once
         self.tell(*(Entry(f"w{at}", "ready", one.endpoint, "z") for at, one in enumerate(workers)))
 
     def tell(self, *entries: Entry) -> None:
--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -121,6 +121,23 @@
     return client
 
 
+def test_a_drain_that_lies_unread_while_the_loop_is_held_is_taken_before_any_first_byte() -> None:
+    """Told, then the loop was busy for longer than the grace: requests ready to go were written first."""
+
+    async def test(scene: Scene) -> None:
+        line, client = await scene.watching(), await resting_client(scene)
+        lines = await scene.warm(client)
+        scene.ask(client)
+        uid, replica = scene.picked()
+        line.send(answer(2, target(uid, replica, "draining")))
+        time.sleep(BUSY)
+        other = lines["w1" if uid == "w0" else "w0"]
+        assert b"0000000000000001" in await other.read(b"{}")
+        assert await lines[uid].rest() == b"", "its idle connection is closed, and nothing came on it"
+
+    play(test)
+
+
 def test_an_answer_that_has_come_as_its_time_ends_is_taken() -> None:
     """Its bytes were read, and the call that they answered was given up in the same turn of the loop."""
 
--- a/tests/wire/test_keepalive.py
+++ b/tests/wire/test_keepalive.py
@@ -7,7 +7,7 @@
 import time
 
 from hillridge.interface import Outcome
-from lockspoke.memory.calls import Attempt, Call
+from lockspoke.memory.calls import Attempt, Call, Clearance
 from lockspoke.memory.registry import Worker
 from lockspoke.wire.clients import StreamedAnswer
 from lockspoke.wire.keepalive import BACK, SHORTEST, KeepAlive
@@ -49,9 +49,9 @@
     def __init__(self) -> None:
         self.ends: list[Outcome] = []
 
-    def begins(self, attempt: Attempt) -> bool:
+    def clear(self, attempt: Attempt) -> Clearance:
         del attempt
-        return True
+        return Clearance.SEND
 
     def streamed(self, attempt: Attempt, data: bytes) -> None:
         del attempt, data
--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -22,6 +23,7 @@
 UP = b"GET /up HTTP/1.1\r\nHost: h\r\n\r\n"
 ANSWER = HEAD + b"".join(map(chunk, [*EVENTS, TAIL])) + chunk(b"")
 FULL = b"HTTP/1.1 503 Busy\r\nSrv-Declined: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+HELD = 0.2  # seconds for which the loop is held: longer than a client may have been gone
 LONG = b"data: " + b"x" * 30_000 + b"\n\n"
 
 
@@ -271,6 +273,33 @@
     play(test)
 
 
+@pytest.mark.parametrize("pipelined", [False, True])
+def test_nothing_is_sent_for_a_client_whose_close_lies_unread_while_the_loop_is_held(pipelined: bool) -> None:
+    """It had left for longer than 0.1 s, and its request was written: the loop had not heard of the close."""
+
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await gateway.client()
+        client.send(call_bytes(1))
+        worker = await peer.accept()
+        await worker.read(b"{}")
+        worker.send(ANSWER)
+        await client.read(chunk(b""))
+        (idle,) = gateway.workers.idle[next(iter(gateway.registry.workers))]
+        await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + worker_side.SETTLE)
+        client.send(call_bytes(2) + (call_bytes(3) if pipelined else b""))
+        taken = served(gateway)
+        taken._take(taken.stream.socket.recv(65536))
+        assert gateway.core.totals["attempts"] == 2
+        client.close()
+        time.sleep(HELD)
+        await until(lambda: gateway.core.totals["left"] == 1 and not gateway.core.calls)
+        assert gateway.core.totals["outcome_moot"] == 1
+        gateway.workers.close()
+        assert await worker.rest() == b"", "nothing came on the connection that was kept"
+
+    play(test)
+
+
 def test_a_request_in_the_backlog_as_the_gateway_stops_to_listen_is_answered() -> None:
     async def test(gateway: Gateway, peer: Peer) -> None:
         client = Line(socket.create_connection(gateway.endpoint))
