An operator's ban does not end the asking for a list that has failed

Cause: to the decisions a ban was a change of the list like any other, and any change of the list was taken for the answer to the request: `Balancer._plan_to_ask` cleared the time of the next one. With discovery failing, one ban or its end, and nobody asked for the list again until a SIGHUP moved it. Every drain and removal after that went unheard. The same came up for the last answer of a service that discovery has moved away from.

Ruled out: the watch itself (its task had ended in order and told of the failure), the timer (it fires; nothing was due).

Change: `ListUpdate.answers` says whether it ends the request that is out or due; a ban's, and a former service's, does not.

Test: test_an_operators_ban_does_not_end_the_asking_for_a_list_that_has_failed fails without the change.

--- a/hillridge/interface.py
+++ b/hillridge/interface.py
@@ -115,6 +115,9 @@
 
     kind: ListKind
     entries: tuple[ListEntry, ...] = ()
+    answers: bool = (
+        True  # whether it ends the request for the list that is out, or due; an operator's word doesn't
+    )
 
 
 @dataclass(frozen=True, slots=True)
--- a/hillridge/policy.py
+++ b/hillridge/policy.py
@@ -170,7 +170,7 @@
         return self.out
 
     def _listed(self, update: api.ListUpdate) -> None:
-        if self.settings.ask_for_list:
+        if self.settings.ask_for_list and update.answers:
             self._plan_to_ask(update.kind)
         if update.kind is api.ListKind.FAILED:
             return
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -115,9 +115,9 @@
         self._answered(call, "left")
         self._post(api.ClientLeft(call.number))
 
-    def list_changed(self, update: RegistryUpdate, cached: bool = False) -> None:
-        """The list of workers, or a change of it."""
-        told, left = self.registry.apply(update, cached)
+    def list_changed(self, update: RegistryUpdate, cached: bool = False, answers: bool = True) -> None:
+        """The list of workers, or a change of it; `answers`: it ends the request that is out, or due."""
+        told, left = self.registry.apply(update, cached, answers)
         for worker in left:
             self.workers.forget(worker)
         self._post(told)
--- a/lockspoke/memory/registry.py
+++ b/lockspoke/memory/registry.py
@@ -81,7 +81,9 @@
         """How many workers the list calls ready."""
         return sum(worker.state == "ready" for worker in self.workers.values())
 
-    def apply(self, update: RegistryUpdate, cached: bool = False) -> tuple[ListUpdate, list[Worker]]:
+    def apply(
+        self, update: RegistryUpdate, cached: bool = False, answers: bool = True
+    ) -> tuple[ListUpdate, list[Worker]]:
         """Take an update: what the decisions are told of it, and the workers that have moved or left."""
         self.rev = update.rev
         left: list[Worker] = []
@@ -118,7 +120,7 @@
             entries[worker.number] = ListEntry(worker.number, ReplicaState.GONE)
             left.append(worker)
         kind = ListKind.CACHED if cached else ListKind.FULL if update.whole else ListKind.DELTA
-        return ListUpdate(kind, tuple(entries.values())), left
+        return ListUpdate(kind, tuple(entries.values()), answers), left
 
     def ban(self, uid: str, banned: bool) -> tuple[ListUpdate, list[Worker]] | None:
         """Take a worker out of use, or put it back: what the decisions are told, and whose connections close.
@@ -132,7 +134,7 @@
         if number is None or self.workers[number].state == "gone":
             return ListUpdate(ListKind.DELTA), []
         told = self._entry(number, self._listed[number])
-        return ListUpdate(ListKind.DELTA, (told,)), [self.workers[number]] if banned else []
+        return ListUpdate(ListKind.DELTA, (told,), answers=False), [self.workers[number]] if banned else []
 
     def takes(self, worker: Worker) -> bool:
         """Whether something new may be sent to a worker: it is listed as ready and not taken out of use."""
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -108,7 +108,7 @@
         if self._failing and not answer.faults:
             log.info("discovery_back", rev=update.rev)
             self._failing = False
-        core.list_changed(update)
+        core.list_changed(update, answers=follower is self._current)
         answer.complete()
 
     def _is_over(self, follower: Follower, reason: str | None) -> None:
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -470,6 +470,16 @@
     assert {attempt.worker.uid for attempt in world.started} == {"w1"}
 
 
+def test_an_operators_ban_does_not_end_the_asking_for_a_list_that_has_failed() -> None:
+    """It was taken for the answer: discovery was never asked again, and every later drain went unheard."""
+    world = World(ask_for_list=True)
+    world.core.list_failed()
+    world.watches.clear()
+    assert world.core.ban("w0", True)
+    world.pass_time(SECOND)
+    assert world.watches == [True]
+
+
 def test_an_attempt_waits_for_what_lies_unread_from_discovery_or_its_client() -> None:
     world = World()
     world.connects = False
--- a/tests/wire/test_watch.py
+++ b/tests/wire/test_watch.py
@@ -29,7 +29,8 @@
         self.failed = 0
         self.on_change: Callable[[], None] | None = None  # what crosses the next list, once
 
-    def list_changed(self, update: Any) -> None:
+    def list_changed(self, update: Any, answers: bool = True) -> None:
+        del answers
         self.rev = update.rev
         happens, self.on_change = self.on_change, None
         if happens is not None:
