--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,9 @@
 
 def pytest_addoption(parser: pytest.Parser) -> None:
     parser.addoption("--known-red", metavar="FILE", help="lines of: test | cause | issue")
+    parser.addoption(
+        "--drain-days", type=int, metavar="N", help="random days for the rule on drains, of each size"
+    )
 
 
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
