A request's time counts from its last byte, not from when its turn came

Cause: `Core.submit` set the deadline from the moment at which a request reached the core. One sent ahead on a connection got its whole time only once the one before it was answered; one that lay in the socket's buffer while the loop was held got the time of the hold on top. The replica was told, and the client waited for, up to that much more than the client had.

Ruled out: slow connections and further attempts.

Change: each request that is read keeps when it can have come at the earliest. The loop's selector notes when it was asked last: what it finds ready at once may have lain unread since then, what it had to wait for has just come.

--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -32,6 +32,7 @@
 from .logs import start_logging
 from .parts import ListSource, Subsystem, Surroundings, only_source
 from .phases import Phase
+from .polling import PolledLoop
 from .timers import LoopTimers
 
 if TYPE_CHECKING:
@@ -263,7 +264,8 @@
     try:
         config = read_config(os.environ)
         structlog.contextvars.bind_contextvars(gateway=config.name)
-        asyncio.run(_run(config, options.edge, options.batch))
+        with asyncio.Runner(loop_factory=PolledLoop) as runner:
+            runner.run(_run(config, options.edge, options.batch))
     except ConfigError as error:
         print(f"lockspoke: {error}", file=sys.stderr)
         return 2
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -44,7 +44,7 @@
 
     sink: Sink
     request_class: int
-    time_left: int  # nanoseconds from now until the client stops waiting for the first token
+    time_left: int  # nanoseconds until the client stops waiting for the first token, from when it came
     req_id: str
     method: str
     target: str
@@ -57,6 +57,7 @@
     prefix_tokens: float = 0.0
     max_tokens: float = 0.0
     client_retry: bool = False
+    arrived: int = 0  # when its last byte came; 0: it comes now
     background: bool = False  # nobody waits at the other end of a connection: others go first
     # Filled by the core:
     number: int = 0
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -41,6 +41,9 @@
     def now(self) -> int:
         """Nanoseconds since the Unix epoch, never going back."""
 
+    def arrived(self) -> int:
+        """The earliest moment at which what is taken up now can have come: a busy loop reads late."""
+
     def later(self, delay: int, callback: Callable[[], None]) -> Timer:
         """Call back after so many nanoseconds."""
 
@@ -87,14 +90,15 @@
     def submit(self, call: Call) -> None:
         """Take a call; from here on it is owed one final answer."""
         call.number = self.registry.numbers.call()
-        call.deadline = self.timers.now() + call.time_left
+        now = self.timers.now()
+        call.deadline = (call.arrived or now) + call.time_left
         call.kind = self.balancer.settings.classes[call.request_class]
         self.calls[call.number] = call
         self.totals["calls"] += 1
         self._post(
             api.Arrived(
                 request=call.number,
-                time_left=call.time_left,
+                time_left=max(0, call.deadline - now),
                 request_class=call.request_class,
                 tenant=call.tenant,
                 session=call.session,
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from enum import Enum
 from types import MappingProxyType
 
@@ -101,6 +102,14 @@
             connection.check(now)
 
 
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A request that has been read whole."""
+
+    request: Request
+    arrived: int  # when its last byte came at the earliest
+
+
 class Phase(Enum):
     """What a client's connection is good for."""
 
@@ -120,7 +129,7 @@
         self.opened_at = self.active_at = asyncio.get_running_loop().time()
         self.gatherer = Gatherer()
         self.held = 0  # bytes of requests, read or half read
-        self.waiting: deque[Request | HttpError] = deque()
+        self.waiting: deque[Received | HttpError] = deque()
         self.call: Call | None = None
         self.asked = False  # whether a byte has ever come
         self.phase = Phase.SERVING
@@ -173,7 +182,8 @@
         self.asked = True
         self.active_at = self.active_at if not self.gatherer.idle else asyncio.get_running_loop().time()
         try:
-            self.waiting.extend(self.gatherer.feed(data))
+            arrived = self.front.core.timers.arrived()
+            self.waiting.extend(Received(request, arrived) for request in self.gatherer.feed(data))
             if self.gatherer.wants_continue():
                 self.outbox.write(encode_head(100, {}))
         except HttpError as error:
@@ -197,7 +207,7 @@
         self.gatherer = Gatherer()
 
     def _waiting_bytes(self) -> int:
-        return sum(len(one.body) for one in self.waiting if isinstance(one, Request))
+        return sum(len(one.request.body) for one in self.waiting if isinstance(one, Received))
 
     def _let_go(self) -> Call | None:
         """The call is answered, or its client gone."""
@@ -214,16 +224,17 @@
     def _next(self) -> None:
         """Answer what waits, up to the first call."""
         while self.waiting and self.call is None and self.phase is not Phase.ENDING:
-            request = self.waiting.popleft()
-            if isinstance(request, HttpError):
-                self._refuse_input(request)
+            received = self.waiting.popleft()
+            if isinstance(received, HttpError):
+                self._refuse_input(received)
                 return
             try:
-                self._answer(request)
+                self._answer(received)
             except HttpError as error:
-                self.whole(request, error.status, str(error))
+                self.whole(received.request, error.status, str(error))
 
-    def _answer(self, request: Request) -> None:
+    def _answer(self, received: Received) -> None:
+        request = received.request
         head = request.head
         method = METHODS.get(head.path)
         if method is None:
@@ -233,9 +244,9 @@
         elif method == "GET":
             self.whole(request, *((200, "ready") if self.front.ready() else (503, "not ready")))
         else:
-            self._call(request)
+            self._call(request, received.arrived)
 
-    def _call(self, request: Request) -> None:
+    def _call(self, request: Request, arrived: int) -> None:
         head = request.head
         if self.guard is not None and not self.guard():
             # Read after a pause that outlasted the lease: another instance has the address by now.
@@ -268,6 +279,7 @@
             prefix_tokens=fields.prefix_len,
             max_tokens=fields.max_out,
             client_retry=fields.retry,
+            arrived=arrived,
         )
         self.call = call
         self.front.open_ids.add(call.req_id)
--- a/tests/clocked.py
+++ b/tests/clocked.py
@@ -60,6 +60,9 @@
     def now(self) -> int:
         return int(self.loop.time() * 1e9)
 
+    def arrived(self) -> int:
+        return self.now()
+
     def later(self, delay: int, callback: Callable[[], None]) -> asyncio.TimerHandle:
         return self.loop.call_later(max(0, delay) / 1e9, callback)
 
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -68,6 +68,9 @@
     def now(self) -> int:
         return self.time
 
+    def arrived(self) -> int:
+        return self.time
+
     def later(self, delay: int, callback: Callable[[], None]) -> Timer:
         self.due.append((self.time + delay, callback))
         return Timer(self.due, self.due[-1])
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -116,6 +116,10 @@
         self.rev += 1
         self.core.list_changed(RegistryUpdate(self.rev, self.rev == 1, entries))
 
+    def tell_of(self, *workers: Peer) -> None:
+        """Discovery has found more replicas."""
+        self.tell(*(Entry(f"more{at}", "ready", one.endpoint, "z") for at, one in enumerate(workers)))
+
     def watch(self, enable: bool) -> None:
         del enable
 
