A gateway that stops answers every request that it has read

Cause: once the gateway was told to stop, the first answer on a connection ended it, and requests that had been read behind the one answered were cleared with no answer (`ClientConnection.keeps`, `_end`). A request that was read and then closed with no answer is lost.

Every close of a client's connection was gone through: idleness, crowding and silence look at the kernel's bytes first (close_resting); a client that takes nothing for 20 s, one that breaks the protocol, and too many held bytes end with an error as the last answer; the end of the program waits for all; descriptors used up stop the accepting, and close none that was asked on. A stream whose head has said `Connection: close` still ends the connection.

Change: while requests that were read wait, the connection goes on; the last of them says `Connection: close`.

Tests: test_requests_that_were_read_together_are_all_answered... fails without the change. The test it stood in asserted that the second of two requests read together gets nothing; that is the fault. What it was for stays: one that comes behind the last answer is not run.

--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -312,8 +312,9 @@
         self.outbox.finish()
 
     def keeps(self, request: Request) -> bool:
-        """Whether the connection goes on after the answer."""
-        return request.head.keep_alive and self.front.intake is Intake.OPEN and not self.leaving
+        """Whether the connection goes on after the answer: it ends once all that was read is answered."""
+        ends = self.front.intake is not Intake.OPEN or self.leaving
+        return request.head.keep_alive and not (ends and not self.waiting)
 
     def answered(self, keep: bool) -> None:
         """The answer is written: on to the next request, or close."""
--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -311,13 +311,32 @@
     play(test)
 
 
-def test_a_request_that_crosses_the_last_answer_of_a_stop_gets_no_second_one() -> None:
-    """Its bytes are there before the loop ends the sending: read and dropped, its client sends it again."""
+def test_requests_that_were_read_together_are_all_answered_by_a_gateway_that_stops() -> None:
+    """The first answer ended the connection, and what was read behind it was dropped without one."""
 
     async def test(gateway: Gateway, peer: Peer) -> None:
         client = await rested(gateway)
         gateway.front.intake = Intake.LAST
-        client.send(UP + call_bytes(2))
+        client.send(UP + call_bytes(2) + UP)
+        worker = await peer.accept()
+        await worker.read(b"{}")
+        worker.send(ANSWER)
+        answers = await client.rest()
+        assert answers.count(b"HTTP/1.1 200") == 3 and answers.count(b"Connection: close") == 1
+
+    play(test)
+
+
+def test_a_request_that_crosses_the_last_answer_of_a_stop_is_not_run() -> None:
+    """It comes behind the answer that ends the connection: its client sends it again."""
+
+    async def test(gateway: Gateway, peer: Peer) -> None:
+        client = await rested(gateway)
+        gateway.front.intake = Intake.LAST
+        client.send(UP)
+        taken = served(gateway)
+        taken._take(taken.stream.socket.recv(65536))
+        client.send(call_bytes(2))  # the last answer is written, and the loop has not gone round
         assert (await client.rest()).count(b"HTTP/1.1") == 1
         assert not gateway.core.totals["calls"]
         client.close()
