A list that the decisions failed to take is asked for whole

Cause: after an exception in Balancer.handle the replica set had an update that the decisions lacked, in part or all, and the next request asked for changes since that update. `Core.clear` kept sends from a drained replica (ruled out as a break of the rule), but its requests ended as moot attempts until the list changed again, and replicas that were added stayed unused.

Change: after a fault at a list update the version is unknown, so the next request asks for the whole list.

Test: fails without the change; it also holds that no attempt at a replica so drained is cleared.

--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -17,7 +17,7 @@
 from hillridge import interface as api
 
 from .calls import Attempt, Call, Clearance, Discovery, Stage, Workers
-from .registry import Registry, RegistryUpdate
+from .registry import UNKNOWN_VERSION, Registry, RegistryUpdate
 
 MS = 1_000_000
 SECOND = 1_000 * MS
@@ -313,6 +313,9 @@
             # The program must outlive a fault of the decisions; the sweep answers what they leave open.
             log.exception("decisions_failed", given=type(event).__name__)
             self.totals["decisions_failed"] += 1
+            if isinstance(event, api.ListUpdate):
+                # They may know a part of it only: the whole list is asked for next.
+                self.registry.rev = UNKNOWN_VERSION
             # What was decided before the fault is counted as done by then, and so it has to be.
             actions = self.balancer.out
         for action in actions:
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -12,7 +12,7 @@
 from lockspoke.memory.calls import Attempt, Call, Clearance
 from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
 from lockspoke.memory.numbers import Numbers, key_number
-from lockspoke.memory.registry import Entry, Registry, RegistryUpdate, Worker
+from lockspoke.memory.registry import UNKNOWN_VERSION, Entry, Registry, RegistryUpdate, Worker
 from tests.hillridge.helpers import settings
 
 
@@ -463,6 +463,26 @@
     assert len(world.started) == 1
 
 
+def test_a_drain_that_the_decisions_failed_to_take_is_obeyed_and_the_whole_list_is_asked_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    world = World(workers=1)
+    world.connects = False
+    handle = world.core.balancer.handle
+
+    def broken(now: int, events: list[Any]) -> list[Any]:
+        raise ZeroDivisionError
+
+    monkeypatch.setattr(world.core.balancer, "handle", broken)
+    drain = Entry("w0", "draining", ("127.0.0.1", 5000), "z")
+    world.core.list_changed(RegistryUpdate(2, False, (drain,)))
+    monkeypatch.setattr(world.core.balancer, "handle", handle)
+    assert world.core.registry.rev == UNKNOWN_VERSION
+    world.call()
+    assert world.started, "to the decisions it is ready still"
+    assert {one.clear() for one in world.started} == {Clearance.OVER}
+
+
 def test_a_worker_that_drains_gets_nothing_new_and_its_connections_close() -> None:
     world = World()
     told = RegistryUpdate(2, False, (Entry("w0", "draining", ("127.0.0.1", 5000), "z"),))
