Where lists are pushed, a program is ready once discovery has answered

Cause: with pushed lists, what discovery has counts as told from the first moment of a new process. The program was ready with the list of its configuration, which may be older, while its first request was still out: what came then could go to a replica told gone.

Ruled out: the same where the list is asked for (there the configured list holds until the gateway's turn to ask).

An inventory's own list is current.

Test: fails without the change.

--- a/lockspoke/inventory/source.py
+++ b/lockspoke/inventory/source.py
@@ -88,6 +88,8 @@
 
     # Start
 
+    settled = True  # the list to begin with is the files' own
+
     @property
     def changes_unread(self) -> bool:
         """Files are told of once they are read: nothing lies between."""
--- a/lockspoke/lifecycle/parts.py
+++ b/lockspoke/lifecycle/parts.py
@@ -30,6 +30,7 @@
     """Where the list of workers comes from. One feeds the registry; it is the core's discovery too."""
 
     core: Core | None  # set before anything is asked of it
+    settled: bool  # whether it has said, or failed to say, what is newer than the list to begin with
 
     def first(self) -> RegistryUpdate | None:
         """The list to begin with, if there is one now; raises ConfigError where none can be had at all."""
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -113,6 +113,14 @@
     def _ready(self) -> bool:
         return self.phase is Phase.READY
 
+    @property
+    def _list_is_current(self) -> bool:
+        """Whether the list is as new as it has to be before the first request comes.
+
+        Where lists are pushed, what discovery has counts as told from a process's first moment.
+        """
+        return self.config.settings.ask_for_list or self.watch.settled
+
     def _operated(self, call: OperatorCall) -> str:
         """Do what an operator asks; raises HttpError for a no."""
         match call.ask:
@@ -209,7 +217,7 @@
     async def _sweep(self) -> None:
         told = time.monotonic()
         while True:
-            if self.phase is Phase.STARTING and self.registry.ready:
+            if self.phase is Phase.STARTING and self.registry.ready and self._list_is_current:
                 self._enter(Phase.READY)
             self.workers.sweep()
             self.clients.sweep()
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -46,6 +46,7 @@
         self._current: Follower | None = None
         self._former: list[Follower] = []
         self._failing = False
+        self.settled = False  # whether the first request has ended, in whatever way
 
     @property
     def changes_unread(self) -> bool:
@@ -98,6 +99,7 @@
 
     def take(self, follower: Follower, answer: ListAnswer) -> None:
         """An answer takes effect; raises ListError if it could not be read as a whole."""
+        self.settled = True
         core, update = self.core, answer.update
         assert core is not None
         if follower is not self._current or answer.faults:
@@ -117,6 +119,7 @@
             self._former = [one for one in self._former if one is not follower]
             return
         self._current = None
+        self.settled = True
         if reason is not None and self.core is not None:
             self.doubt(reason)
             self.core.list_failed()
--- a/tests/lifecycle/test_program.py
+++ b/tests/lifecycle/test_program.py
@@ -278,6 +278,34 @@
             assert not worker.seen
 
 
+@run
+async def test_where_lists_are_pushed_a_program_is_ready_once_discovery_has_answered() -> None:
+    """What discovery has counts as told from the first moment, and the configured list may be older."""
+
+    class Held(FakeDiscovery):
+        def __init__(self) -> None:
+            super().__init__()
+            self.answers = asyncio.Event()
+
+        async def answer(self, request: Any, writer: asyncio.StreamWriter) -> None:
+            await self.answers.wait()
+            await super().answer(request, writer)
+
+    async with FakeWorker() as gone, FakeWorker() as worker, Held() as discovery:
+        discovery.change(worker)
+        pushed = Program(gone, discovery=discovery)
+        pushed.settings["discovery"] = "automatic"
+        async with pushed as program:
+            await until(lambda: bool(discovery.seen))
+            async with Client(program.port) as client:
+                assert (await client.ask(UP))[0] == 503
+                discovery.answers.set()
+                await until(lambda: program.log("phase", now="ready") is not None)
+                assert (await client.ask(UP))[0] == 200
+                assert (await client.ask(call_bytes(1)))[0] == 200
+        assert not gone.seen and len(worker.seen) == 1
+
+
 @run
 async def test_sighup_moves_to_another_discovery_and_a_bad_file_changes_nothing() -> None:
     """The program used to end on it. The file's new word goes before the environment's old one."""
