--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -291,3 +291,21 @@
         await line.read(b"from=2&")
 
     play(test)
+
+
+def test_the_last_answer_of_a_former_service_does_not_end_the_asking_for_the_new_ones_list() -> None:
+    """It was taken for the answer to the request that had failed: nobody asked again."""
+
+    async def test(scene: Scene) -> None:
+        line, new = await scene.watching(), Peer()
+        scene.watch.move(new.endpoint)
+        refusing = await new.accept()
+        await refusing.read(b"\r\n\r\n")
+        refusing.send(BAD_ANSWERS["a refusal"])
+        assert await refusing.rest() == b""
+        line.send(scene.drain_of_the_first)
+        await until(lambda: scene.state("w0") == "draining")
+        asking = await new.accept()
+        assert b"from=" not in await asking.read(b"\r\n\r\n")
+
+    play(test, asks=True)
