States of listed replicas are the decisions' enum, not strings

Entry.state and Worker.state held 'ready', 'draining' or 'gone', which a table turned into ReplicaState for the decisions. Both are ReplicaState now, and the table is gone. Behaviour kept; the tests are changed in these names only.

--- a/lockspoke/inventory/reconcile.py
+++ b/lockspoke/inventory/reconcile.py
@@ -16,11 +16,12 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
+from hillridge.interface import ReplicaState
 from lockspoke.memory.registry import Entry
 
 from .model import Snapshot, WorkerRecord
 
-_STATES = {"up": "ready", "draining": "draining", "removed": "gone"}
+_STATES = {"up": ReplicaState.READY, "draining": ReplicaState.DRAINING, "removed": ReplicaState.GONE}
 
 
 @dataclass(frozen=True, slots=True)
@@ -368,7 +369,7 @@
                     if self.out.get(name) != wish.reason:
                         self._decide(wish.act, name, wish.reason)
                     continue
-                less.append(Entry(name, "gone", None))
+                less.append(Entry(name, ReplicaState.GONE, None))
                 self._take_out(name, known, wish, now_ms)
                 continue
             files = snapshot.files.get(name, known.files if known is not None else ())
--- a/lockspoke/memory/registry.py
+++ b/lockspoke/memory/registry.py
@@ -9,7 +9,6 @@
 
 from .numbers import Numbers, kind_number
 
-STATES = {"ready": ReplicaState.READY, "draining": ReplicaState.DRAINING, "gone": ReplicaState.GONE}
 MS = 1_000_000
 UNKNOWN_VERSION = -1  # no list has been taken, or none of the service that is asked now
 
@@ -19,7 +18,7 @@
     """One worker as a list names it."""
 
     uid: str
-    state: str  # ready, draining or gone
+    state: ReplicaState
     endpoint: tuple[str, int] | None
     zone: str = ""
     cell: int = 0
@@ -47,7 +46,7 @@
     number: int
     uid: str
     endpoint: tuple[str, int] | None
-    state: str
+    state: ReplicaState
     boot_ms: int
 
     @property
@@ -79,7 +78,7 @@
     @property
     def ready(self) -> int:
         """How many workers the list calls ready."""
-        return sum(worker.state == "ready" for worker in self.workers.values())
+        return sum(worker.state == ReplicaState.READY for worker in self.workers.values())
 
     def apply(
         self, update: RegistryUpdate, cached: bool = False, answers: bool = True
@@ -100,14 +99,14 @@
                 self._stand(worker, touched)
                 continue
             self._leave(worker)
-            if entry.state != "ready" or (entry.endpoint, entry.boot_ms) != worker.place:
+            if entry.state != ReplicaState.READY or (entry.endpoint, entry.boot_ms) != worker.place:
                 left.append(worker)
             worker.endpoint, worker.boot_ms = entry.endpoint or worker.endpoint, entry.boot_ms
             worker.state = entry.state
             self._stand(worker, touched)
         if update.whole:
             for worker in self.workers.values():
-                if worker.number in entries or worker.state == "gone":
+                if worker.number in entries or worker.state == ReplicaState.GONE:
                     continue
                 if worker.uid in update.unread:
                     # To the decisions, too, what a whole list does not name is gone.
@@ -131,14 +130,14 @@
         if number is None and uid not in self._banned:
             return None
         (self._banned.add if banned else self._banned.discard)(uid)
-        if number is None or self.workers[number].state == "gone":
+        if number is None or self.workers[number].state == ReplicaState.GONE:
             return ListUpdate(ListKind.DELTA), []
         told = self._entry(number, self._listed[number])
         return ListUpdate(ListKind.DELTA, (told,), answers=False), [self.workers[number]] if banned else []
 
     def takes(self, worker: Worker) -> bool:
         """Whether something new may be sent to a worker: it is listed as ready and not taken out of use."""
-        return worker.state == "ready" and worker.uid not in self._banned
+        return worker.state == ReplicaState.READY and worker.uid not in self._banned
 
     @property
     def banned(self) -> frozenset[str]:
@@ -151,7 +150,7 @@
 
     def _stand(self, worker: Worker, touched: dict[tuple[str, int], None]) -> None:
         """A worker is listed as it is now; its address is one to be looked at."""
-        if worker.state == "gone":
+        if worker.state == ReplicaState.GONE:
             self._gone.add(worker.number)
         elif worker.endpoint is not None:
             self._at.setdefault(worker.endpoint, set()).add(worker.number)
@@ -167,7 +166,7 @@
 
     def _end(self, worker: Worker) -> None:
         self._leave(worker)
-        worker.state = "gone"
+        worker.state = ReplicaState.GONE
         self._gone.add(worker.number)
 
     def _superseded(self, touched: Iterable[tuple[str, int]]) -> list[Worker]:
@@ -190,11 +189,11 @@
             self.numbers.forget(self.workers.pop(number).uid)
 
     def _entry(self, number: int, entry: Entry) -> ListEntry:
-        banned = entry.state == "ready" and entry.uid in self._banned
+        banned = entry.state == ReplicaState.READY and entry.uid in self._banned
         return ListEntry(
             replica=number,
             # To the decisions it drains: what it has goes on, nothing new is sent.
-            state=ReplicaState.DRAINING if banned else STATES[entry.state],
+            state=ReplicaState.DRAINING if banned else entry.state,
             # A zone that the settings do not name is nobody's home.
             zone=self.zones.get(entry.zone, len(self.zones)),
             cell=entry.cell,
--- a/lockspoke/wire/discovery.py
+++ b/lockspoke/wire/discovery.py
@@ -8,13 +8,14 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from hillridge.interface import ReplicaState
 from lockspoke.memory.registry import UNKNOWN_VERSION, Entry, RegistryUpdate
 
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser
 
 LIST_PATH = "/discovery/hosts"
 LIST_LIMIT = 4 * 1024 * 1024  # bytes
-STATES = {"up": "ready", "draining": "draining", "removed": "gone"}
+STATES = {"up": ReplicaState.READY, "draining": ReplicaState.DRAINING, "removed": ReplicaState.GONE}
 
 
 class ListError(ValueError):
@@ -116,7 +117,9 @@
             uid = _uid(target)
             if uid is None:
                 whole = False
-            elif (state := STATES.get(str(target.get("state")), "ready")) != "ready":
+            elif (
+                state := STATES.get(str(target.get("state")), ReplicaState.READY)
+            ) is not ReplicaState.READY:
                 entries.append(
                     Entry(uid, state, endpoint=None)
                 )  # whatever else it says: nothing new goes there
@@ -132,14 +135,14 @@
 
 def out_of_use_only(update: RegistryUpdate) -> RegistryUpdate:
     """The part of an update that can lead to no send: drains and removals that it names."""
-    entries = tuple(entry for entry in update.entries if entry.state != "ready")
+    entries = tuple(entry for entry in update.entries if entry.state != ReplicaState.READY)
     return replace(update, rev=UNKNOWN_VERSION, whole=False, entries=entries)
 
 
 def _without_contradictions(entries: list[Entry]) -> tuple[list[Entry], list[str]]:
     """A whole list's entries, and the uids named twice: of these only what takes them out of use is kept."""
     twice = [uid for uid, count in Counter(entry.uid for entry in entries).items() if count > 1]
-    return [entry for entry in entries if entry.uid not in twice or entry.state != "ready"], twice
+    return [entry for entry in entries if entry.uid not in twice or entry.state != ReplicaState.READY], twice
 
 
 def _number(target: dict[str, Any], name: str, default: float, at: int) -> float:
@@ -178,7 +181,7 @@
     if state is None:
         raise ListError(f"targets[{at}].state is {named!r}; it can be {', '.join(STATES)}")
     # An entry that is gone may have lost its address; every other must have one.
-    endpoint = None if state == "gone" else decode_endpoint(_text(target, "endpoint", at))
+    endpoint = None if state is ReplicaState.GONE else decode_endpoint(_text(target, "endpoint", at))
     zone, kind = target.get("az", ""), target.get("model", "")
     return Entry(
         uid=uid,
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/workers.py
@@ -10,7 +10,7 @@
 import structlog
 from tornado.iostream import IOStream, StreamClosedError
 
-from hillridge.interface import Outcome
+from hillridge.interface import Outcome, ReplicaState
 from lockspoke.memory.calls import Attempt, Clearance
 from lockspoke.memory.registry import Worker
 
@@ -117,7 +117,7 @@
         """Close the idle connections to a worker."""
         for connection in self.idle.pop(worker.number, ()):
             self._close(connection)
-        if worker.state == "gone":
+        if worker.state == ReplicaState.GONE:
             self.limits.pop(worker.number, None)
 
     def sweep(self) -> None:
@@ -252,7 +252,7 @@
         Its others are as old or older, and later ones are kept for half as long as this one stood.
         """
         worker = connection.worker
-        if connection.stood <= 0.0 or worker.state == "gone":
+        if connection.stood <= 0.0 or worker.state == ReplicaState.GONE:
             return
         self.forget(worker)
         limit = self.limits.get(worker.number, self.keep_alive.longest)
@@ -267,7 +267,7 @@
 
     def _release(self, connection: Connection) -> None:
         worker = connection.worker
-        moved = worker.state != "ready" or worker.endpoint != connection.endpoint
+        moved = worker.state != ReplicaState.READY or worker.endpoint != connection.endpoint
         if moved or connection.pending.done() or connection.stream.closed():
             self._close(connection)
             return
--- a/tests/lifecycle/test_housekeeping.py
+++ b/tests/lifecycle/test_housekeeping.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hillridge.interface import ReplicaState
 from lockspoke.lifecycle.program import give_back
 from lockspoke.memory.registry import Entry
 from lockspoke.wire.discovery import decode_list
@@ -33,7 +34,7 @@
 
 def all_go(gateway: Gateway) -> None:
     gateway.core.list_changed(decode_list(listed(0)).complete())
-    gateway.tell(*(Entry(f"s-{n}", "gone", None) for n in range(WORKERS)))
+    gateway.tell(*(Entry(f"s-{n}", ReplicaState.GONE, None) for n in range(WORKERS)))
 
 
 def sweeps(gateway: Gateway) -> None:
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from hillridge.interface import Effect, Outcome, RequestClass, Scope
+from hillridge.interface import Effect, Outcome, ReplicaState, RequestClass, Scope
 from lockspoke.memory.calls import Attempt, Call, Clearance
 from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
 from lockspoke.memory.numbers import Numbers, key_number
@@ -62,7 +62,9 @@
         self.changes_unread = False  # whether discovery has written what is not in force yet
         self.more: set[Attempt] = set()  # of whose answers more has come than is passed on
         self.core = Core(settings(**changes), 7, Registry(Numbers(), ["z"]), self, self, self)
-        entries = tuple(Entry(f"w{i}", "ready", ("127.0.0.1", 5000 + i), "z") for i in range(workers))
+        entries = tuple(
+            Entry(f"w{i}", ReplicaState.READY, ("127.0.0.1", 5000 + i), "z") for i in range(workers)
+        )
         self.core.list_changed(RegistryUpdate(1, True, entries), cached=True)
 
     def now(self) -> int:
@@ -158,8 +160,8 @@
     world = World()
     for n in range(300):
         world.time += SECOND
-        new = Entry(f"n{n}", "ready", ("127.0.0.1", 7000 + n), "z")
-        old = Entry(f"n{n - 1}", "gone", None, "z")
+        new = Entry(f"n{n}", ReplicaState.READY, ("127.0.0.1", 7000 + n), "z")
+        old = Entry(f"n{n - 1}", ReplicaState.GONE, None, "z")
         world.core.list_changed(RegistryUpdate(2 + n, False, (new, old) if n else (new,)))
     registry = world.core.registry
     assert len(registry.workers) < 50 and len(registry.numbers._workers) < 50
@@ -168,13 +170,14 @@
 
 def test_workers_of_one_kind_of_machine_are_of_one_kind_to_every_gateway() -> None:
     entries = [
-        Entry(f"k{n}", "ready", ("127.0.0.1", 8000 + n), "z", kind=kind) for n, kind in enumerate("aab")
+        Entry(f"k{n}", ReplicaState.READY, ("127.0.0.1", 8000 + n), "z", kind=kind)
+        for n, kind in enumerate("aab")
     ]
     kinds = []
     for _ in range(2):
         registry = Registry(Numbers(), ("z",))
         told, _ = registry.apply(
-            RegistryUpdate(1, True, (*entries, Entry("k9", "ready", ("127.0.0.1", 9000))))
+            RegistryUpdate(1, True, (*entries, Entry("k9", ReplicaState.READY, ("127.0.0.1", 9000))))
         )
         kinds.append([entry.kind for entry in told.entries])
     assert kinds[0] == kinds[1]
@@ -184,15 +187,18 @@
 def test_a_younger_worker_at_an_address_ends_the_older_one() -> None:
     """Discovery tells late that a machine has vanished; its name would bring its heir twice the work."""
     world = World()
-    heir = Entry("heir", "ready", ("127.0.0.1", 5000), "z", boot_ms=world.time // MS - 100)
+    heir = Entry("heir", ReplicaState.READY, ("127.0.0.1", 5000), "z", boot_ms=world.time // MS - 100)
     world.core.list_changed(RegistryUpdate(2, False, (heir,)))
     assert [worker.uid for worker in world.forgotten] == ["w0"]
     for _ in range(8):
         world.call()
     assert "w0" not in {attempt.worker.uid for attempt in world.started}
-    both = tuple(Entry(f"w{i}", "ready", ("127.0.0.1", 5000 + i), "z") for i in range(2))
+    both = tuple(Entry(f"w{i}", ReplicaState.READY, ("127.0.0.1", 5000 + i), "z") for i in range(2))
     world.core.list_changed(RegistryUpdate(3, True, (heir, *both)))  # it is still listed, and still gone
-    assert {w.uid for w in world.core.registry.workers.values() if w.state == "ready"} == {"heir", "w1"}
+    assert {w.uid for w in world.core.registry.workers.values() if w.state == ReplicaState.READY} == {
+        "heir",
+        "w1",
+    }
 
 
 def test_the_deadline_ends_what_does_not_stream_and_nothing_else() -> None:
@@ -264,12 +270,16 @@
 
 def drained(world: World, call: Call) -> None:
     uid = call.attempts[0].worker.uid
-    world.core.list_changed(RegistryUpdate(2, False, (Entry(uid, "draining", ("127.0.0.1", 5000), "z"),)))
+    world.core.list_changed(
+        RegistryUpdate(2, False, (Entry(uid, ReplicaState.DRAINING, ("127.0.0.1", 5000), "z"),))
+    )
 
 
 def restarted(world: World, call: Call) -> None:
     uid, endpoint = call.attempts[0].worker.uid, call.attempts[0].worker.endpoint
-    world.core.list_changed(RegistryUpdate(2, False, (Entry(uid, "ready", endpoint, "z", boot_ms=10**6),)))
+    world.core.list_changed(
+        RegistryUpdate(2, False, (Entry(uid, ReplicaState.READY, endpoint, "z", boot_ms=10**6),))
+    )
 
 
 def banned(world: World, call: Call) -> None:
@@ -474,7 +484,7 @@
         raise ZeroDivisionError
 
     monkeypatch.setattr(world.core.balancer, "handle", broken)
-    drain = Entry("w0", "draining", ("127.0.0.1", 5000), "z")
+    drain = Entry("w0", ReplicaState.DRAINING, ("127.0.0.1", 5000), "z")
     world.core.list_changed(RegistryUpdate(2, False, (drain,)))
     monkeypatch.setattr(world.core.balancer, "handle", handle)
     assert world.core.registry.rev == UNKNOWN_VERSION
@@ -485,7 +495,7 @@
 
 def test_a_worker_that_drains_gets_nothing_new_and_its_connections_close() -> None:
     world = World()
-    told = RegistryUpdate(2, False, (Entry("w0", "draining", ("127.0.0.1", 5000), "z"),))
+    told = RegistryUpdate(2, False, (Entry("w0", ReplicaState.DRAINING, ("127.0.0.1", 5000), "z"),))
     world.core.list_changed(told)
     assert [worker.uid for worker in world.forgotten] == ["w0"]
     for _ in range(6):
@@ -518,10 +528,12 @@
 
 def test_a_full_list_drops_what_it_does_not_name() -> None:
     world = World()
-    world.core.list_changed(RegistryUpdate(3, True, (Entry("w1", "ready", ("127.0.0.1", 9), "z"),)))
+    world.core.list_changed(
+        RegistryUpdate(3, True, (Entry("w1", ReplicaState.READY, ("127.0.0.1", 9), "z"),))
+    )
     assert {worker.uid: worker.state for worker in world.core.registry.workers.values()} == {
-        "w0": "gone",
-        "w1": "ready",
+        "w0": ReplicaState.GONE,
+        "w1": ReplicaState.READY,
     }
     assert {worker.uid for worker in world.forgotten} == {"w0", "w1"}  # w1 has moved
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -12,7 +12,7 @@
 import struct
 from typing import Any
 
-from hillridge.interface import RequestClass, Settings
+from hillridge.interface import ReplicaState, RequestClass, Settings
 from lockspoke.lifecycle.timers import LoopTimers
 from lockspoke.memory.calls import Discovery
 from lockspoke.memory.core import Core
@@ -109,7 +109,7 @@
         self.front = ClientFront(self.core, {"docs": 0}, 64, 48_000_000, lambda: True)
         self.rev = 0
         self.changes_unread = False  # what it tells is in force at once
-        self.tell(*(Entry(f"w{at}", "ready", one.endpoint, "z") for at, one in enumerate(workers)))
+        self.tell(*(Entry(f"w{at}", ReplicaState.READY, one.endpoint, "z") for at, one in enumerate(workers)))
 
     def tell(self, *entries: Entry) -> None:
         """What discovery has to say; the whole list at first."""
@@ -118,7 +118,9 @@
 
     def tell_of(self, *workers: Peer) -> None:
         """Discovery has found more replicas."""
-        self.tell(*(Entry(f"more{at}", "ready", one.endpoint, "z") for at, one in enumerate(workers)))
+        self.tell(
+            *(Entry(f"more{at}", ReplicaState.READY, one.endpoint, "z") for at, one in enumerate(workers))
+        )
 
     def watch(self, enable: bool) -> None:
         del enable
--- a/tests/wire/drain_play.py
+++ b/tests/wire/drain_play.py
@@ -18,7 +18,7 @@
 from functools import partial
 from typing import Any
 
-from hillridge.interface import RequestClass
+from hillridge.interface import ReplicaState, RequestClass
 from lockspoke.memory.calls import Call
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
@@ -428,7 +428,7 @@
         return events
 
     def _start(self) -> None:
-        known = tuple(Entry(f"r{n}", "ready", (f"r{n}", 80), "z") for n in range(REPLICAS))
+        known = tuple(Entry(f"r{n}", ReplicaState.READY, (f"r{n}", 80), "z") for n in range(REPLICAS))
         self.core.start()
         self.core.list_changed(RegistryUpdate(1, True, known), cached=True)
 
--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -16,6 +16,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from hillridge.interface import ReplicaState
 from lockspoke.wire import discovery_link
 from lockspoke.wire.clients import ClientConnection
 from lockspoke.wire.discovery import LIST_LIMIT
@@ -72,7 +73,7 @@
         assert isinstance(connection, ClientConnection)
         connection._take(connection.stream.socket.recv(65536))
 
-    def state(self, uid: str) -> str:
+    def state(self, uid: str) -> ReplicaState:
         """What the list in force says of a replica."""
         return next(one.state for one in self.gateway.registry.workers.values() if one.uid == uid)
 
@@ -153,7 +154,7 @@
         line.send(scene.drain_of_the_first)
         time.sleep(max(0.0, held - asyncio.get_running_loop().time()))
         await until(lambda: scene.gateway.registry.rev == 2)
-        assert scene.state("w0") == "draining"
+        assert scene.state("w0") is ReplicaState.DRAINING
 
     play(test, hold_ms=SHORT_HOLD_MS)
 
@@ -167,7 +168,7 @@
         scene.watch.move(slow.endpoint)
         taken = await slow.accept()
         assert b"from=" not in await taken.read(b"\r\n\r\n"), "versions are each service's own"
-        await until(lambda: scene.state("w0") == "draining")
+        await until(lambda: scene.state("w0") is ReplicaState.DRAINING)
         assert scene.gateway.registry.rev == -1
 
     play(test)
@@ -181,7 +182,7 @@
         scene.watch.move(slow.endpoint)
         await (await slow.accept()).read(b"\r\n\r\n")
         line.send(scene.drain_of_the_first[half:])
-        await until(lambda: scene.state("w0") == "draining")
+        await until(lambda: scene.state("w0") is ReplicaState.DRAINING)
 
     play(test)
 
@@ -193,7 +194,7 @@
     async def test(scene: Scene) -> None:
         line = await scene.watching()
         line.send(answer(2, target("w0", scene.first, "draining"), bad))
-        await until(lambda: scene.state("w0") == "draining")
+        await until(lambda: scene.state("w0") is ReplicaState.DRAINING)
         assert scene.gateway.registry.rev == 1, "the same is asked for again"
 
     play(test)
@@ -208,10 +209,10 @@
         await line.read(b"from=2&")
         line.send(answer(1, target("w0", scene.first), target("w1", scene.second), whole=True))
         assert b"from=" not in await line.read(b"\r\n\r\n")
-        assert scene.state("w0") == "draining" and scene.state("w1") == "ready"
+        assert scene.state("w0") is ReplicaState.DRAINING and scene.state("w1") is ReplicaState.READY
         line.send(answer(1, target("w0", scene.first), target("w1", scene.second), whole=True))
         await line.read(b"from=1&")
-        assert scene.state("w0") == "ready", "said as the whole list, it is the service's own word"
+        assert scene.state("w0") is ReplicaState.READY, "said as the whole list, it is the service's own word"
 
     play(test)
 
@@ -223,7 +224,7 @@
         line = await scene.watching()
         line.send(answer(0, target("w1", scene.second, "draining")))
         assert b"from=" not in await line.read(b"\r\n\r\n")
-        assert scene.state("w1") == "draining"
+        assert scene.state("w1") is ReplicaState.DRAINING
 
     play(test)
 
@@ -253,9 +254,9 @@
                     await asyncio.get_running_loop().sock_sendall(line.sock, bad)
                 line = await scene.discovery.accept()
                 assert b"from=1&hold_ms=0 " in await line.read(b"\r\n\r\n")
-                assert scene.state("w0") == scene.state("w1") == "ready"
+                assert scene.state("w0") == scene.state("w1") is ReplicaState.READY
             line.send(scene.drain_of_the_first)
-            await until(lambda: scene.state("w0") == "draining")
+            await until(lambda: scene.state("w0") is ReplicaState.DRAINING)
         failing = [one for one in logs if one["event"] == "discovery_failing"]
         assert len(failing) == 1 and failing[0]["reason"]
 
@@ -304,7 +305,7 @@
         refusing.send(BAD_ANSWERS["a refusal"])
         assert await refusing.rest() == b""
         line.send(scene.drain_of_the_first)
-        await until(lambda: scene.state("w0") == "draining")
+        await until(lambda: scene.state("w0") is ReplicaState.DRAINING)
         asking = await new.accept()
         assert b"from=" not in await asking.read(b"\r\n\r\n")
 
--- a/tests/wire/test_keepalive.py
+++ b/tests/wire/test_keepalive.py
@@ -6,7 +6,7 @@
 import contextlib
 import time
 
-from hillridge.interface import Outcome
+from hillridge.interface import Outcome, ReplicaState
 from lockspoke.memory.calls import Attempt, Call, Clearance
 from lockspoke.memory.registry import Worker
 from lockspoke.wire.clients import StreamedAnswer
@@ -91,7 +91,7 @@
             return told.ends[-1]
 
         try:
-            first, second = (Worker(n, str(n), ("127.0.0.1", port), "ready", 0) for n in (1, 2))
+            first, second = (Worker(n, str(n), ("127.0.0.1", port), ReplicaState.READY, 0) for n in (1, 2))
             assert await ask("/", first) is Outcome.OK
             idle = connections.idle[1][0]
             await until(lambda: loop.time() > idle.idle_since + SETTLE)
--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -11,7 +11,7 @@
 import pytest
 from tornado.iostream import IOStream
 
-from hillridge.interface import Effect, Outcome, RequestClass
+from hillridge.interface import Effect, Outcome, ReplicaState, RequestClass
 from lockspoke.memory.registry import Entry
 from lockspoke.wire import dialing
 from lockspoke.wire import workers as worker_side
@@ -212,8 +212,8 @@
 
 async def drains(gateway: Gateway, client: Line) -> None:
     (worker,) = gateway.registry.workers.values()
-    gateway.tell(Entry(worker.uid, "draining", worker.endpoint, "z"))
-    gateway.tell(Entry(worker.uid, "ready", ("127.0.0.1", 9), "z"))  # it comes back elsewhere
+    gateway.tell(Entry(worker.uid, ReplicaState.DRAINING, worker.endpoint, "z"))
+    gateway.tell(Entry(worker.uid, ReplicaState.READY, ("127.0.0.1", 9), "z"))  # it comes back elsewhere
 
 
 @pytest.mark.parametrize("happens", [leaves, drains])
--- a/tests/wire/test_wire_fields.py
+++ b/tests/wire/test_wire_fields.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from hillridge.interface import ReplicaState
 from lockspoke.memory.registry import UNKNOWN_VERSION
 from lockspoke.wire.discovery import STATES, ListError, decode_list, out_of_use_only
 from lockspoke.wire.fields import decode_call, decode_load
@@ -134,15 +135,18 @@
     twice = [TARGET, TARGET | {"state": "draining"}, TARGET | {"uid": "s-2"}]
     answer = decode_list(a_list(*twice))
     assert [(entry.uid, entry.state) for entry in answer.update.entries] == [
-        ("s-1", "draining"),
-        ("s-2", "ready"),
+        ("s-1", ReplicaState.DRAINING),
+        ("s-2", ReplicaState.READY),
     ]
     with pytest.raises(ListError, match="uid 's-1' is listed twice; name each replica once"):
         answer.complete()
     both = decode_list(a_list(TARGET, TARGET))
     assert both.faults and not both.update.entries and both.update.unread == {"s-1"}
     changes = decode_list(a_list(*twice[:2], whole=False)).complete()
-    assert [entry.state for entry in changes.entries] == ["ready", "draining"]  # changes come in their order
+    assert [entry.state for entry in changes.entries] == [
+        ReplicaState.READY,
+        ReplicaState.DRAINING,
+    ]  # changes come in their order
 
 
 def test_lists_are_read() -> None:
@@ -151,7 +155,7 @@
     entry = update.entries[0]
     assert (entry.uid, entry.endpoint, entry.cell, entry.boot_ms) == ("s-1", ("127.0.0.1", 5000), 3, 5)
     gone = {"uid": "s-1", "state": "removed"}  # what is gone needs no address
-    assert decode_list(a_list(gone)).complete().entries[0].state == "gone"
+    assert decode_list(a_list(gone)).complete().entries[0].state is ReplicaState.GONE
 
 
 def test_a_list_tells_the_kind_of_machine_where_it_is_a_name() -> None:
