--- a/lockspoke/inventory/__init__.py
+++ b/lockspoke/inventory/__init__.py
@@ -1,1 +1,1 @@
-"""Lists of workers from files: read, checked, explained, and brought to the registry step by step."""
+"""Lists of workers from files: read, checked, explained, and brought to the replica set step by step."""
--- a/lockspoke/inventory/reconcile.py
+++ b/lockspoke/inventory/reconcile.py
@@ -1,4 +1,4 @@
-"""The reconciler: snapshots of the files in, changes of the registry out, each with its reason.
+"""The reconciler: snapshots of the files in, changes of the replica set out, each with its reason.
 
 It has no I/O and no clock. Adding is cautious and taking away is prompt: a host that is cleanly taken out,
 or said to drain, gets nothing new however wrong other rows are; a host whose own row is wrong keeps its
@@ -17,7 +17,7 @@
 from enum import Enum
 
 from hillridge.interface import ReplicaState
-from lockspoke.memory.registry import Entry
+from lockspoke.memory.replica_set import Entry
 
 from .model import Snapshot, WorkerRecord
 
@@ -71,7 +71,7 @@
 
 @dataclass(slots=True)
 class Known:
-    """A host that the registry has."""
+    """A host that the replica set has."""
 
     record: WorkerRecord
     files: tuple[str, ...] = ()
@@ -91,7 +91,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """What follows from a snapshot: entries for the registry, decisions, and when to look again."""
+    """What follows from a snapshot: entries for the replica set, decisions, and when to look again."""
 
     entries: tuple[Entry, ...] = ()
     decisions: tuple[Decision, ...] = ()
@@ -134,7 +134,7 @@
 
 
 class Reconciler:
-    """Decides, from one snapshot to the next, what the registry is told."""
+    """Decides, from one snapshot to the next, what the replica set is told."""
 
     def __init__(self, caution: Caution | None = None, known: Iterable[Known] = ()) -> None:
         self.caution = caution or Caution()
@@ -191,7 +191,7 @@
         return Step(tuple(entries), tuple(self._decisions), self._wake)
 
     def entries(self) -> tuple[Entry, ...]:
-        """All hosts as the registry should have them now: a whole list."""
+        """All hosts as the replica set should have them now: a whole list."""
         return tuple(self._entry(known) for known in self.known.values())
 
     # What each host is to become
@@ -450,7 +450,7 @@
 
 
 def _entry_part(record: WorkerRecord) -> tuple[object, ...]:
-    """What of a record reaches the registry."""
+    """What of a record reaches the replica set."""
     return record.address, record.zone, record.cell, record.weight, record.state
 
 
--- a/lockspoke/inventory/source.py
+++ b/lockspoke/inventory/source.py
@@ -22,7 +22,7 @@
 from watchfiles import awatch
 
 from lockspoke.memory.core import Core
-from lockspoke.memory.registry import Entry, RegistryUpdate
+from lockspoke.memory.replica_set import Entry, ReplicaUpdate
 
 from . import store
 from .files import collect, folders, replaced, signature
@@ -37,7 +37,7 @@
 STEP_MS = 5  # of the notice: how long after a change it looks for more
 SAVE = 0.2  # seconds between two writes of what is kept
 RETRY = 5.0  # seconds after which a notice that failed is tried again
-BATCH = 500  # entries that the registry is given at once
+BATCH = 500  # entries that the replica set is given at once
 LINES = 40  # log lines of one sort from one look; the rest are counted
 LONGEST_QUIET = 10.0  # seconds after which a file that is written all the time is read all the same
 
@@ -95,7 +95,7 @@
         """Files are told of once they are read: nothing lies between."""
         return False
 
-    def first(self) -> RegistryUpdate | None:
+    def first(self) -> ReplicaUpdate | None:
         """The list to begin with: the kept one, where a folder lasts, brought up to what the files say now.
 
         Raises InventoryError where neither gives a worker. What is kept is what the gateway was told before
@@ -120,7 +120,7 @@
             raise InventoryError(f"the inventory gives no worker\n{what}".rstrip())
         self._save()
         self._rev += 1
-        return RegistryUpdate(self._rev, True, self.reconciler.entries())
+        return ReplicaUpdate(self._rev, True, self.reconciler.entries())
 
     def _kept(self) -> list[Known]:
         if not self.settings.keep:
@@ -153,14 +153,14 @@
     def _confirm(self) -> None:
         if self.core is not None:
             self._rev += 1
-            self.core.list_changed(RegistryUpdate(self._rev, False, ()))
+            self.core.list_changed(ReplicaUpdate(self._rev, False, ()))
 
     def zones_changed(self, zones: tuple[str, ...], anew: bool) -> None:
         """The zones that the gateway's settings name; `anew`: the core wants the whole list again."""
         self.zones = zones
         if anew and self.core is not None:
             self._rev += 1
-            self.core.list_changed(RegistryUpdate(self._rev, True, self.reconciler.entries()))
+            self.core.list_changed(ReplicaUpdate(self._rev, True, self.reconciler.entries()))
         self.look_again()
 
     def reconfigure(self, settings: Settings) -> None:
@@ -340,7 +340,7 @@
         assert self.core is not None
         self._rev += 1
         for at in range(0, len(entries), BATCH):  # what is taken away stands first
-            self.core.list_changed(RegistryUpdate(self._rev, False, entries[at : at + BATCH]))
+            self.core.list_changed(ReplicaUpdate(self._rev, False, entries[at : at + BATCH]))
         log.info("registry_changed", rev=self._rev, whole=False, entries=len(entries))
 
     # Names
@@ -468,7 +468,7 @@
             self._again = True
 
     def _save(self) -> None:
-        """Keep the list as the registry has it; writes do not pile up, the latest goes."""
+        """Keep the list as the replica set has it; writes do not pile up, the latest goes."""
         if not self.settings.keep or self.snapshot is None:
             return
         self._unsaved = True
--- a/lockspoke/inventory/store.py
+++ b/lockspoke/inventory/store.py
@@ -1,6 +1,6 @@
 """The last good list in a file: versioned, checksummed, whole or not there.
 
-A restart amid a half-edited inventory starts from it. What is written is what the registry was told, not
+A restart amid a half-edited inventory starts from it. What is written is what the replica set was told, not
 what the files said.
 """
 
--- a/lockspoke/lifecycle/address.py
+++ b/lockspoke/lifecycle/address.py
@@ -114,7 +114,7 @@
         failing = (self._samples[-1][2] - self._samples[0][2]) / calls if calls else 0.0
         if now - self._looked_at >= RESOURCES:
             self._resources, self._looked_at = (_sockets(self.gateway), _memory(self.gateway)), now
-        return Vitals(self.core.registry.ready, self._lag, failing, calls, *self._resources)
+        return Vitals(self.core.replica_set.ready, self._lag, failing, calls, *self._resources)
 
     # Clients of the service address
 
--- a/lockspoke/lifecycle/config.py
+++ b/lockspoke/lifecycle/config.py
@@ -11,7 +11,7 @@
 
 from hillridge.interface import Settings
 from hillridge.wire import decode_settings
-from lockspoke.memory.registry import RegistryUpdate
+from lockspoke.memory.replica_set import ReplicaUpdate
 from lockspoke.wire.discovery import decode_endpoint, read_list
 
 MS = 1_000_000
@@ -31,12 +31,12 @@
 
     name: str
     listen: tuple[str, int]
-    discovery: tuple[str, int] | None  # none where an inventory feeds the registry
+    discovery: tuple[str, int] | None  # none where an inventory feeds the replica set
     named: str  # the discovery that the file itself names
     seed: int
     sockets: int
     memory_mb: int
-    known: RegistryUpdate | None
+    known: ReplicaUpdate | None
     settings: Settings
     classes: dict[str, int]  # by name, their place in the settings
     tenants: dict[str, int]  # by name, their place in the settings
@@ -59,7 +59,7 @@
         return min(max(self.deadlines, default=3_000 * MS) / 1e9, 3.0) + 0.7
 
     def connections(self, others: int = 0) -> int:
-        """The connections that each side, clients and workers, may take of the descriptors."""
+        """The connections that each side, clients and replicas, may take of the descriptors."""
         return max(8, (self.sockets - OWN_SOCKETS - others) // 2)
 
 
--- a/lockspoke/lifecycle/drain.py
+++ b/lockspoke/lifecycle/drain.py
@@ -51,7 +51,7 @@
         self.clients.intake = Intake.LAST
         ending = [asyncio.ensure_future(part.drain()) for part in self.parts]
         if not self.config().resumes:
-            # No stream may be cut then, and none is sure to end in time: its worker may be slow, or hang.
+            # No stream may be cut then, and none is sure to end in time: its replica may be slow, or hang.
             asyncio.get_running_loop().call_at(self.began + LAST_CALLS, self._turn_away)
         await self._accept_while_clients_come()
         self.clients.listener.stop()
--- a/lockspoke/lifecycle/inventory.py
+++ b/lockspoke/lifecycle/inventory.py
@@ -1,4 +1,4 @@
-"""The inventory as a part of the program: the section `[inventory]` feeds the registry."""
+"""The inventory as a part of the program: the section `[inventory]` feeds the replica set."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from lockspoke.inventory.settings import Settings
 from lockspoke.inventory.source import InventoryError, InventorySource
 from lockspoke.memory.core import Core
-from lockspoke.memory.registry import RegistryUpdate
+from lockspoke.memory.replica_set import ReplicaUpdate
 from lockspoke.wire.clients import ClientFront
 
 from .config import Config, ConfigError
@@ -25,7 +25,7 @@
 class _Source(InventorySource):
     """The source as the program's interface for one has it."""
 
-    def first(self) -> RegistryUpdate | None:
+    def first(self) -> ReplicaUpdate | None:
         """The list to begin with."""
         try:
             return super().first()
--- a/lockspoke/lifecycle/parts.py
+++ b/lockspoke/lifecycle/parts.py
@@ -1,4 +1,4 @@
-"""What plugs into the program: subsystems beside the platform's front, and sources of the list of workers.
+"""What plugs into the program: subsystems beside the platform's front, and sources of the list of replicas.
 
 A subsystem is named by a section of the edge file. Its module is imported only where that section is there,
 so a program without one carries nothing of it. `PARTS` is the whole of what the program knows of them.
@@ -13,7 +13,7 @@
 from typing import Any, Protocol
 
 from lockspoke.memory.core import Core
-from lockspoke.memory.registry import RegistryUpdate
+from lockspoke.memory.replica_set import ReplicaUpdate
 from lockspoke.wire.clients import ClientFront
 
 from .config import Config
@@ -27,12 +27,12 @@
 
 
 class ListSource(Protocol):
-    """Where the list of workers comes from. One feeds the registry; it is the core's discovery too."""
+    """Where the list of replicas comes from. One feeds the replica set; it is the core's discovery too."""
 
     core: Core | None  # set before anything is asked of it
     settled: bool  # whether it has said, or failed to say, what is newer than the list to begin with
 
-    def first(self) -> RegistryUpdate | None:
+    def first(self) -> ReplicaUpdate | None:
         """The list to begin with, if there is one now; raises ConfigError where none can be had at all."""
 
     @property
@@ -58,7 +58,7 @@
 
     name: str
     descriptors: int  # that its connections may take
-    source: ListSource | None  # where it feeds the registry
+    source: ListSource | None  # where it feeds the replica set
 
     def attach(self, core: Core, clients: ClientFront) -> None:
         """The core that it goes through and the platform's front; raises ConfigError where it can't start."""
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -18,13 +18,13 @@
 
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
-from lockspoke.memory.registry import Registry, RegistryUpdate
+from lockspoke.memory.replica_set import ReplicaSet, ReplicaUpdate
 from lockspoke.wire.clients import ClientFront, Intake
 from lockspoke.wire.http1 import HttpError
 from lockspoke.wire.operator_api import Ask, OperatorCall
 from lockspoke.wire.operators import MOST, OperatorFront
+from lockspoke.wire.replicas import ReplicaConnections
 from lockspoke.wire.watch import DiscoveryWatch, hold_of
-from lockspoke.wire.workers import WorkerConnections
 
 from .bans import read_bans, write_bans
 from .config import Config, ConfigError, read_config
@@ -52,7 +52,7 @@
         super().__init__(config.discovery, hold_of(config.settings.index, config.settings.gateways))
         self._config = config
 
-    def first(self) -> RegistryUpdate | None:
+    def first(self) -> ReplicaUpdate | None:
         """The list that the configuration holds."""
         return self._config.known
 
@@ -79,14 +79,14 @@
         self.config = config
         self.phase = Phase.STARTING
         self.timers = LoopTimers()
-        self.registry = Registry(Numbers(), config.zones)
+        self.replica_set = ReplicaSet(Numbers(), config.zones)
         self.operators = OperatorFront(self._operated) if config.operator else None
         self.bans_file = Path(os.environ.get("TMPDIR") or "/tmp", f"{config.name}.bans.json")
         self.out_of_service = False  # by an operator's word: it answers what comes and asks for no more
         self._others = sum(part.descriptors for part in self.parts)
         self._others += MOST if self.operators is not None else 0
         most = config.connections(self._others)
-        self.workers = WorkerConnections(
+        self.transport = ReplicaConnections(
             config.load_names,
             config.connect_timeout,
             config.keepalive,
@@ -94,9 +94,11 @@
             self.timers.now,
         )
         self.watch: ListSource = only_source(self.parts) or PlatformDiscovery(config)
-        self.core = Core(config.settings, config.seed, self.registry, self.timers, self.workers, self.watch)
+        self.core = Core(
+            config.settings, config.seed, self.replica_set, self.timers, self.transport, self.watch
+        )
         self.watch.core = self.core
-        # The listener holds one past its bound while it looks for room; each call needs a worker's place.
+        # The listener holds one past its bound while it looks for room; each call needs a replica's place.
         self.clients = ClientFront(
             self.core,
             config.classes,
@@ -131,7 +133,7 @@
             case Ask.OFFLINE | Ask.ONLINE:
                 if not self.core.ban(call.uid, call.ask is Ask.OFFLINE):
                     raise HttpError(404, f"no list has named {call.uid[:200]}")
-                write_bans(self.bans_file, self.registry.banned)
+                write_bans(self.bans_file, self.replica_set.banned)
             case Ask.OUT_OF_SERVICE | Ask.IN_SERVICE:
                 if self.phase in (Phase.DRAINING, Phase.TURNING_AWAY):
                     raise HttpError(409, "the gateway is stopping")
@@ -154,7 +156,7 @@
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.core.start()
         if self.operators is not None:
-            self.registry.ban_all(read_bans(self.bans_file))
+            self.replica_set.ban_all(read_bans(self.bans_file))
         known = self.watch.first()
         if known is not None:
             self.core.list_changed(known, cached=True)
@@ -162,7 +164,7 @@
             self.watch.watch(True)
         # A new version is started beside this one, at the same address, where operators say when it is ready.
         host, port = self.clients.listener.listen(self.config.listen, shared=self.operators is not None)
-        log.info("listening", host=host, port=port, workers=self.registry.ready)
+        log.info("listening", host=host, port=port, workers=self.replica_set.ready)
         if self.operators is not None and self.config.operator is not None:
             host, port = self.operators.listener.listen(self.config.operator)
             log.info("operators_listening", host=host, port=port)
@@ -179,14 +181,14 @@
         self.watch.close()
         for part in self.parts:
             part.stop()
-        self.workers.close()
+        self.transport.close()
         self._tell_totals()
         self._enter(Phase.STOPPED)
 
     def _reload(self) -> None:
         """Take up the configuration's files as they are now; one that cannot be read leaves the old in force.
 
-        Calls, connections and what is known of workers stay. Name, address and seed are of the start alone,
+        Calls, connections and what is known of replicas stay. Name, address and seed are of the start alone,
         and so is the list that the file holds: discovery's own is newer.
         """
         try:
@@ -198,7 +200,7 @@
         moved = config.discovery != self.config.discovery
         self.config = config
         most = config.connections(self._others)
-        self.workers.reconfigure(config.load_names, config.connect_timeout, config.keepalive, most)
+        self.transport.reconfigure(config.load_names, config.connect_timeout, config.keepalive, most)
         self.clients.reconfigure(config.classes, most - 1, config.held_bytes, config.tenants)
         anew = self.core.reconfigure(config.settings, config.zones)
         self.watch.gateway_changed(config, anew)
@@ -217,9 +219,9 @@
     async def _sweep(self) -> None:
         told = time.monotonic()
         while True:
-            if self.phase is Phase.STARTING and self.registry.ready and self._list_is_current:
+            if self.phase is Phase.STARTING and self.replica_set.ready and self._list_is_current:
                 self._enter(Phase.READY)
-            self.workers.sweep()
+            self.transport.sweep()
             self.clients.sweep()
             if self.out_of_service:
                 self.clients.listener.close_idle(QUIET)
@@ -238,8 +240,8 @@
             "totals",
             open_calls=len(self.core.calls),
             clients=len(self.clients.listener.connections),
-            workers=self.workers.open,
-            spoilt=self.workers.spoilt,
+            workers=self.transport.open,
+            spoilt=self.transport.spoilt,
             **self.core.totals,
         )
 
@@ -259,7 +261,7 @@
     """Run one gateway until it is told to stop."""
     parser = argparse.ArgumentParser(
         prog="lockspoke",
-        description="A gateway for language-model workers.",
+        description="A gateway for language-model replicas.",
         epilog="Tools beside it: lockspoke inventory --help, lockspoke config --help.",
     )
     which = parser.add_mutually_exclusive_group()
--- a/lockspoke/lifecycle/timers.py
+++ b/lockspoke/lifecycle/timers.py
@@ -13,7 +13,7 @@
     """The system's clock and the event loop's timers."""
 
     def __init__(self) -> None:
-        # One time base: steady, yet comparable with the Unix times at which workers started.
+        # One time base: steady, yet comparable with the Unix times at which replicas started.
         self._base = time.time_ns() - time.monotonic_ns()
 
     def now(self) -> int:
--- a/lockspoke/memory/__init__.py
+++ b/lockspoke/memory/__init__.py
@@ -1,1 +1,1 @@
-"""What is kept: calls, attempts, the registry and the core. Nothing here knows a wire."""
+"""What is kept: calls, attempts, the replica set and the core. Nothing here knows a wire."""
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/calls.py
@@ -1,4 +1,4 @@
-"""Calls, and their attempts: a request that is owed an answer, and each try at a worker."""
+"""Calls, and their attempts: a request that is owed an answer, and each try at a replica."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 from hillridge.interface import Effect, Outcome, RequestClass, Scope
 
-from .registry import Worker
+from .replica_set import Replica
 
 NEVER_RAN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)  # outcomes that prove it
 
@@ -48,7 +48,7 @@
     req_id: str
     method: str
     target: str
-    headers: Mapping[str, str]  # passed on to the worker
+    headers: Mapping[str, str]  # passed on to the replica
     body: bytes
     tenant: int = 0  # its place in the settings; 0 also where there are none
     session: int = 0
@@ -104,7 +104,7 @@
         """Its connection is up: whether the first byte may go out now."""
 
     def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
-        """Bytes of the worker's stream."""
+        """Bytes of the replica's stream."""
 
     def ended(
         self, attempt: Attempt, outcome: Outcome, cached_tokens: int, report: tuple[float, ...]
@@ -114,15 +114,15 @@
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """One attempt of a call at one worker."""
+    """One attempt of a call at one replica."""
 
     call: Call
     index: int
-    worker: Worker
+    replica: Replica
     sent_at: int
     deadline: int
     reports: Reports
-    place: object = None  # the worker's process and address as they were when it was decided on
+    place: object = None  # the replica's process and address as they were when it was decided on
     begin_by: int = 0  # no byte goes out from then on; 0: no such time
     stage: Stage = Stage.CONNECTING
     outcome: Outcome | None = None  # None: still out
@@ -138,7 +138,7 @@
 
     @property
     def maybe_ran(self) -> bool:
-        """Whether the worker may have run it: something of it was sent, and no outcome proves it did not."""
+        """Whether the replica may have run it: something of it was sent, and no outcome proves it did not."""
         return self.stage is not Stage.CONNECTING and self.outcome not in NEVER_RAN
 
     def clear(self) -> Clearance:
@@ -146,7 +146,7 @@
         return self.reports.clear(self)
 
     def streamed(self, data: bytes) -> asyncio.Future[None] | None:
-        """Bytes of the worker's stream have come."""
+        """Bytes of the replica's stream have come."""
         return self.reports.streamed(self, data)
 
     def ended(self, outcome: Outcome, cached_tokens: int = 0, report: tuple[float, ...] = ()) -> None:
@@ -154,8 +154,8 @@
         self.reports.ended(self, outcome, cached_tokens, report)
 
 
-class Workers(Protocol):
-    """The core's way to the workers: it starts attempts, and each tells how it went."""
+class Transport(Protocol):
+    """The core's way to the replicas: it starts attempts, and each tells how it went."""
 
     def start(self, attempt: Attempt) -> None:
         """Begin; never raises, the attempt is told of every failure."""
@@ -166,12 +166,12 @@
     def unread(self, attempt: Attempt) -> bool:
         """Whether bytes of its answer have come that are not passed on yet."""
 
-    def forget(self, worker: Worker) -> None:
-        """The worker has moved, restarted or left: its idle connections are of no more use."""
+    def forget(self, replica: Replica) -> None:
+        """The replica has moved, restarted or left: its idle connections are of no more use."""
 
 
 class Discovery(Protocol):
-    """The core's way to the list of workers."""
+    """The core's way to the list of replicas."""
 
     @property
     def changes_unread(self) -> bool:
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -1,6 +1,6 @@
 """The core: feeds the decisions with events, carries out their actions, and owes each call one answer.
 
-It knows no wire. Fronts hand it a `Call` with a sink for the answer; workers and discovery are reached
+It knows no wire. Fronts hand it a `Call` with a sink for the answer; replicas and discovery are reached
 through the small interfaces of `calls.py`.
 """
 
@@ -16,13 +16,13 @@
 from hillridge import Balancer
 from hillridge import interface as api
 
-from .calls import Attempt, Call, Clearance, Discovery, Stage, Workers
-from .registry import UNKNOWN_VERSION, Registry, RegistryUpdate
+from .calls import Attempt, Call, Clearance, Discovery, Stage, Transport
+from .replica_set import UNKNOWN_VERSION, ReplicaSet, ReplicaUpdate
 
 MS = 1_000_000
 SECOND = 1_000 * MS
 SWEEP = SECOND // 4
-SILENT = 3 * SECOND  # a stream that brings nothing for so long has lost its worker
+SILENT = 3 * SECOND  # a stream that brings nothing for so long has lost its replica
 OVERDUE = 10 * MS  # past the deadline: an answer that the decisions owe is given for them
 
 log = structlog.get_logger()
@@ -55,15 +55,15 @@
         self,
         settings: api.Settings,
         seed: int,
-        registry: Registry,
+        replica_set: ReplicaSet,
         timers: Timers,
-        workers: Workers,
+        transport: Transport,
         discovery: Discovery,
     ) -> None:
         self.balancer = Balancer(settings, seed)
-        self.registry = registry
+        self.replica_set = replica_set
         self.timers = timers
-        self.workers = workers
+        self.transport = transport
         self.discovery = discovery
         self.calls: dict[int, Call] = {}
         self.totals: Counter[str] = Counter()
@@ -80,16 +80,16 @@
             self.discovery.watch(True)
 
     def reconfigure(self, settings: api.Settings, zones: Sequence[str]) -> bool:
-        """New settings from now on; whether the registry has to be told the whole list again for them."""
+        """New settings from now on; whether the replica set has to be told the whole list again for them."""
         self._asks = settings.ask_for_list
         self.balancer.reconfigure(settings)
-        return self.registry.rename_zones(zones)
+        return self.replica_set.rename_zones(zones)
 
     # What fronts and discovery say
 
     def submit(self, call: Call) -> None:
         """Take a call; from here on it is owed one final answer."""
-        call.number = self.registry.numbers.call()
+        call.number = self.replica_set.numbers.call()
         now = self.timers.now()
         call.deadline = (call.arrived or now) + call.time_left
         call.kind = self.balancer.settings.classes[call.request_class]
@@ -114,28 +114,28 @@
         """The client is gone: nothing is owed any more, but what has been sent for it runs on."""
         if call.answered:
             return
-        # A worker does not stop for a client that left; read to its end, the stream still tells the
-        # decisions how busy that worker is.
+        # A replica does not stop for a client that left; read to its end, the stream still tells the
+        # decisions how busy that replica is.
         self._answered(call, "left")
         self._post(api.ClientLeft(call.number))
 
-    def list_changed(self, update: RegistryUpdate, cached: bool = False, answers: bool = True) -> None:
-        """The list of workers, or a change of it; `answers`: it ends the request that is out, or due."""
-        told, left = self.registry.apply(update, cached, answers)
-        for worker in left:
-            self.workers.forget(worker)
+    def list_changed(self, update: ReplicaUpdate, cached: bool = False, answers: bool = True) -> None:
+        """The list of replicas, or a change of it; `answers`: it ends the request that is out, or due."""
+        told, left = self.replica_set.apply(update, cached, answers)
+        for replica in left:
+            self.transport.forget(replica)
         self._post(told)
         # What discovery has named all day would be kept for ever: only what is still in use is.
-        self.registry.prune(self.balancer.replicas)
+        self.replica_set.prune(self.balancer.replicas)
 
     def ban(self, uid: str, banned: bool) -> bool:
-        """An operator takes a worker out of use or puts it back; False where no list has named it."""
-        found = self.registry.ban(uid, banned)
+        """An operator takes a replica out of use or puts it back; False where no list has named it."""
+        found = self.replica_set.ban(uid, banned)
         if found is None:
             return False
         told, closing = found
-        for worker in closing:
-            self.workers.forget(worker)
+        for replica in closing:
+            self.transport.forget(replica)
         if told.entries:
             self._post(told)
         return True
@@ -153,9 +153,9 @@
         """Give calls away to other gateways: those named, or all; streams too where clients ask for the rest.
 
         A stream ends without its end, and its client goes on elsewhere. If that is not pressing (`at_once`),
-        one of which more has come than was passed on is let go on meanwhile: its worker may have finished it.
-        A call that has not begun gets an overload reply if it may be repeated. What workers still run for
-        them is of no use any more.
+        one of which more has come than was passed on is let go on meanwhile: its replica may have finished
+        it. A call that has not begun gets an overload reply if it may be repeated. What replicas still run
+        for them is of no use any more.
         """
         for call in list(self.calls.values() if calls is None else calls):
             if call.owner is not None and call.owner.outcome is None and not call.answered:
@@ -163,7 +163,7 @@
                     continue
                 call.leaving = True
                 self._unthrottle(call.owner)
-                if not at_once and self.workers.unread(call.owner):
+                if not at_once and self.transport.unread(call.owner):
                     continue
             if not call.answered:
                 if call.owner is not None:
@@ -182,11 +182,11 @@
     def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
         """End an attempt that is out; of one that was never sent nothing may have run, whatever ends it."""
         if attempt.outcome is None:
-            self.workers.stop(attempt)
+            self.transport.stop(attempt)
             self.ended(attempt, outcome if attempt.maybe_ran else api.Outcome.MOOT)
 
     def live_held(self) -> bool:
-        """Whether a call that somebody waits for is held, since no worker has room for it."""
+        """Whether a call that somebody waits for is held, since no replica has room for it."""
         return any(
             not call.background
             and not call.answered
@@ -200,15 +200,15 @@
         """Its connection is up: whether its first byte may go out now.
 
         Connecting takes its time, and what was decided before may not hold any more: the client has left,
-        the worker was told to drain or has begun anew, the time in which a repeat does no harm has passed.
+        the replica was told to drain or has begun anew, the time in which a repeat does no harm has passed.
         A busy loop reads late, so what lies unread from discovery or the client is taken first: both count
         from when they were written. This is the one way to a first byte, for every attempt of every front.
         """
-        now, call, worker = self.timers.now(), attempt.call, attempt.worker
+        now, call, replica = self.timers.now(), attempt.call, attempt.replica
         if attempt.outcome is not None:
             return Clearance.OVER
         late = now >= attempt.deadline or (attempt.begin_by and now >= attempt.begin_by)
-        moved = worker.place != attempt.place or not self.registry.takes(worker)
+        moved = replica.place != attempt.place or not self.replica_set.takes(replica)
         if call.answered or call.owner is not None or late or moved:
             self.ended(attempt, api.Outcome.MOOT)
             return Clearance.OVER
@@ -250,7 +250,7 @@
 
     def _first_token(self, attempt: Attempt) -> None:
         elapsed = attempt.heard_at - attempt.sent_at
-        number = attempt.worker.number
+        number = attempt.replica.number
         self._post(api.FirstToken(attempt.call.number, attempt.index, number, elapsed))
 
     def ended(
@@ -275,7 +275,7 @@
                 self._answered(call, "broken")
                 call.sink.broken()
         elapsed = self.timers.now() - attempt.sent_at
-        number = attempt.worker.number
+        number = attempt.replica.number
         self._post(
             api.AttemptEnded(
                 call.number,
@@ -315,7 +315,7 @@
             self.totals["decisions_failed"] += 1
             if isinstance(event, api.ListUpdate):
                 # They may know a part of it only: the whole list is asked for next.
-                self.registry.rev = UNKNOWN_VERSION
+                self.replica_set.rev = UNKNOWN_VERSION
             # What was decided before the fault is counted as done by then, and so it has to be.
             actions = self.balancer.out
         for action in actions:
@@ -344,15 +344,15 @@
             case api.Log(text):
                 log.warning("decision", text=text)
 
-    def _send(self, number: int, replica: int, timeout: int, begin_within: int = 0) -> None:
-        call, worker = self.calls.get(number), self.registry.workers.get(replica)
-        if call is None or worker is None:
-            log.error("send_unknown", call=number, worker=replica)
+    def _send(self, number: int, replica_number: int, timeout: int, begin_within: int = 0) -> None:
+        call, replica = self.calls.get(number), self.replica_set.replicas.get(replica_number)
+        if call is None or replica is None:
+            log.error("send_unknown", call=number, worker=replica_number)
             return
         now = self.timers.now()
         deadline = min(now + timeout, call.deadline) if timeout else call.deadline
-        attempt = Attempt(call, len(call.attempts), worker, now, deadline, self)
-        attempt.place = worker.place
+        attempt = Attempt(call, len(call.attempts), replica, now, deadline, self)
+        attempt.place = replica.place
         attempt.begin_by = now + begin_within if begin_within else 0
         call.attempts.append(attempt)
         if call.answered or call.owner is not None or now >= deadline:
@@ -360,7 +360,7 @@
             return
         self.totals["attempts"] += 1
         attempt.timer = self.timers.later(deadline - now, lambda: self._timed_out(attempt))
-        self.workers.start(attempt)
+        self.transport.start(attempt)
 
     @staticmethod
     def _call_off(attempt: Attempt) -> None:
@@ -392,7 +392,7 @@
                 # A machine that vanished leaves its connections open and silent: its client would wait
                 # for ever, where it could ask for the rest.
                 if owner.waits_for_client is None and now - owner.heard_at > SILENT:
-                    self.workers.stop(owner)
+                    self.transport.stop(owner)
                     self.ended(owner, api.Outcome.RESET)
             elif not call.answered and owner is None and now > call.deadline + OVERDUE:
                 self._answered(call, "overdue")
--- a/lockspoke/memory/numbers.py
+++ b/lockspoke/memory/numbers.py
@@ -22,31 +22,31 @@
 
 
 class Numbers:
-    """Numbers workers and calls.
+    """Numbers replicas and calls.
 
-    A worker's number comes from its uid alone: the decisions rank workers by it, and all gateways have to
+    A replica's number comes from its uid alone: the decisions rank replicas by it, and all gateways have to
     find the same ranks without a word to one another.
     """
 
     def __init__(self) -> None:
-        self._workers: dict[str, int] = {}
+        self._replicas: dict[str, int] = {}
         self._taken: set[int] = set()
         self._calls = 0
 
-    def worker(self, uid: str) -> int:
-        """The number of a worker, for as long as it is known."""
-        number = self._workers.get(uid)
+    def replica(self, uid: str) -> int:
+        """The number of a replica, for as long as it is known."""
+        number = self._replicas.get(uid)
         if number is None:
             number = _hash(uid, _U32)
-            while number in self._taken:  # two uids with one hash must not become one worker
+            while number in self._taken:  # two uids with one hash must not become one replica
                 number = (number + 1) % (1 << 32)
-            self._workers[uid] = number
+            self._replicas[uid] = number
             self._taken.add(number)
         return number
 
     def forget(self, uid: str) -> None:
-        """A worker that is gone for good: named again, it would get the same number, its hash."""
-        self._taken.discard(self._workers.pop(uid, -1))
+        """A replica that is gone for good: named again, it would get the same number, its hash."""
+        self._taken.discard(self._replicas.pop(uid, -1))
 
     def call(self) -> int:
         """The next call's number; a client's id may come twice, this does not."""
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -32,7 +32,7 @@
 SECOND = 1_000 * MS
 CALLS_PATH = "/v1/chat/completions"
 READY_PATH = "/up"
-HOST = "origin.svc"  # told to workers where an HTTP/1.0 client named none
+HOST = "origin.svc"  # told to replicas where an HTTP/1.0 client named none
 METHODS = {CALLS_PATH: "POST", READY_PATH: "GET"}
 WAITING = 4  # requests that one connection may have sent ahead; clients send one at a time
 IDLE = 30.0  # seconds a connection is kept between requests
@@ -260,7 +260,7 @@
         if fields.kind not in self.front.classes:
             raise HttpError(400, "unknown Req-Kind")
         if fields.req_id in self.front.open_ids:
-            # Sent on, a worker would take it for a second copy of another client's call.
+            # Sent on, a replica would take it for a second copy of another client's call.
             raise HttpError(409, "Req-Id is in use")
         call = Call(
             sink=StreamedAnswer(self, request),
@@ -381,7 +381,7 @@
 
 
 def _passed_on(headers: Headers) -> dict[str, str]:
-    """What a worker is told: not what concerns this connection alone."""
+    """What a replica is told: not what concerns this connection alone."""
     named = {word.strip().lower() for value in headers.all("connection") for word in value.split(",")}
     passed = {name: value for name, value in headers.fields if name not in NOT_PASSED | named}
     return {"host": HOST, **passed}
--- a/lockspoke/wire/discovery.py
+++ b/lockspoke/wire/discovery.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from hillridge.interface import ReplicaState
-from lockspoke.memory.registry import UNKNOWN_VERSION, Entry, RegistryUpdate
+from lockspoke.memory.replica_set import UNKNOWN_VERSION, Entry, ReplicaUpdate
 
 from .http1 import Data, End, HttpError, ResponseHead, ResponseParser
 
@@ -46,10 +46,10 @@
 class ListAnswer:
     """What could be read of an answer, and what could not."""
 
-    update: RegistryUpdate
+    update: ReplicaUpdate
     faults: tuple[str, ...] = ()  # each names an entry's field
 
-    def complete(self) -> RegistryUpdate:
+    def complete(self) -> ReplicaUpdate:
         """The update; raises ListError if any of it could not be read."""
         if self.faults:
             raise ListError(self.faults[0])
@@ -129,11 +129,11 @@
         entries, twice = _without_contradictions(entries)
         faults += [f"targets: uid {uid!r} is listed twice; name each replica once" for uid in twice]
         unread.update(twice)
-    update = RegistryUpdate(version, whole, tuple(entries), frozenset(unread))
+    update = ReplicaUpdate(version, whole, tuple(entries), frozenset(unread))
     return ListAnswer(update, tuple(faults))
 
 
-def out_of_use_only(update: RegistryUpdate) -> RegistryUpdate:
+def out_of_use_only(update: ReplicaUpdate) -> ReplicaUpdate:
     """The part of an update that can lead to no send: drains and removals that it names."""
     entries = tuple(entry for entry in update.entries if entry.state != ReplicaState.READY)
     return replace(update, rev=UNKNOWN_VERSION, whole=False, entries=entries)
--- a/lockspoke/wire/keepalive.py
+++ b/lockspoke/wire/keepalive.py
@@ -1,15 +1,15 @@
-"""How long connections to workers are kept idle: pure, the time is handed in."""
+"""How long connections to replicas are kept idle: pure, the time is handed in."""
 
 from __future__ import annotations
 
-SHORTEST = 0.25  # seconds a connection may stand idle, however soon workers want it back
+SHORTEST = 0.25  # seconds a connection may stand idle, however soon replicas want it back
 BACK = 10.0  # seconds without a refusal after which connections are kept twice as long again
 
 
 class KeepAlive:
-    """Workers hold few connections, and those that stand idle at one gateway are missing at all others.
+    """Replicas hold few connections, and those that stand idle at one gateway are missing at all others.
 
-    A new connection that is turned away or never comes up says that a worker's table may be full. Who holds
+    A new connection that is turned away or never comes up says that a replica's table may be full. Who holds
     the places is not known. Each gateway that meets this holds some elsewhere, so each keeps its own half as
     long: a handshake costs less than an answer.
     """
@@ -27,7 +27,7 @@
         return max(min(SHORTEST, self.longest), self.longest / float(2.0 ** self._missing(now)))
 
     def turned_away(self, now: float) -> None:
-        """A worker has not taken a new connection, or no call over it."""
+        """A replica has not taken a new connection, or no call over it."""
         if self._doublings and now - self._cut_at < SHORTEST:
             return  # guards against one moment's refusals, all of one cause, each counting as a sign
         cut = 1.0 if self.limit(now) > SHORTEST else 0.0
--- a/lockspoke/wire/workers.py
+++ b/lockspoke/wire/replicas.py
@@ -1,4 +1,4 @@
-"""The driver of the connections to workers: one attempt at a time on each, kept for the next."""
+"""The driver of the connections to replicas: one attempt at a time on each, kept for the next."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 from hillridge.interface import Outcome, ReplicaState
 from lockspoke.memory.calls import Attempt, Clearance
-from lockspoke.memory.registry import Worker
+from lockspoke.memory.replica_set import Replica
 
 from .dialing import Dial, dial
 from .fields import decode_load
@@ -23,8 +23,8 @@
 
 MS = 1_000_000
 OPENING = 1.0  # seconds from an answer's first byte to its first event: both come with the first token
-SETTLE = 0.01  # seconds in which what a worker sends behind an answer shows, before the connection is reused
-IDLE_SHARE = 0.8  # of the time after which a worker closes an idle connection: ours closes before
+SETTLE = 0.01  # seconds in which what a replica sends behind an answer shows, before the connection is reused
+IDLE_SHARE = 0.8  # of the time after which a replica closes an idle connection: ours closes before
 
 log = structlog.get_logger()
 
@@ -34,26 +34,26 @@
 
 
 class NoRoomError(Exception):
-    """Every descriptor set aside for workers is in use by an attempt."""
+    """Every descriptor set aside for replicas is in use by an attempt."""
 
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """How a worker answered one attempt."""
+    """How a replica answered one attempt."""
 
     outcome: Outcome
-    cached_tokens: int = 0  # of the prompt, found in the worker's cache
+    cached_tokens: int = 0  # of the prompt, found in the replica's cache
     load: str = ""  # its load report, as it was written
     reusable: bool = False  # whether the connection can take another request
 
 
 class Connection(ReadAhead):
-    """A connection to one worker."""
+    """A connection to one replica."""
 
-    def __init__(self, worker: Worker, stream: IOStream) -> None:
+    def __init__(self, replica: Replica, stream: IOStream) -> None:
         super().__init__(stream)
-        self.worker = worker
-        self.endpoint = worker.endpoint
+        self.replica = replica
+        self.endpoint = replica.endpoint
         self.idle_since = 0.0
         self.stood = 0.0  # how long it had stood idle when it was taken for an attempt
         self.answering = False  # whether a byte of the present answer has come
@@ -65,7 +65,7 @@
         return data
 
 
-class WorkerConnections:
+class ReplicaConnections:
     """Carries out attempts over TCP."""
 
     def __init__(
@@ -82,8 +82,8 @@
         self.now = now
         self.open = 0
         self.spoilt = 0  # answers that could not be read
-        self.limits: dict[int, float] = {}  # by worker, seconds, where it closes sooner than the settings say
-        self.idle: dict[int, deque[Connection]] = {}  # by worker, the one used last at the right
+        self.limits: dict[int, float] = {}  # by replica, seconds, where it closes sooner than settings say
+        self.idle: dict[int, deque[Connection]] = {}  # by replica, the one used last at the right
         self.tasks: dict[Attempt, asyncio.Task[None]] = {}
         self.exchanges: dict[Attempt, Connection] = {}  # the connections on which answers are awaited
 
@@ -113,15 +113,15 @@
         connection = self.exchanges.get(attempt)
         return connection is not None and connection.unread
 
-    def forget(self, worker: Worker) -> None:
-        """Close the idle connections to a worker."""
-        for connection in self.idle.pop(worker.number, ()):
+    def forget(self, replica: Replica) -> None:
+        """Close the idle connections to a replica."""
+        for connection in self.idle.pop(replica.number, ()):
             self._close(connection)
-        if worker.state == ReplicaState.GONE:
-            self.limits.pop(worker.number, None)
+        if replica.state == ReplicaState.GONE:
+            self.limits.pop(replica.number, None)
 
     def sweep(self) -> None:
-        """Close what has stood idle for long: the worker would, and a request written then is lost."""
+        """Close what has stood idle for long: the replica would, and a request written then is lost."""
         now = asyncio.get_running_loop().time()
         kept = self.keep_alive.limit(now)
         for number, connections in list(self.idle.items()):
@@ -136,7 +136,7 @@
     async def _run(self, attempt: Attempt) -> None:
         connection = None
         try:
-            connection = await self._acquire(attempt.worker)
+            connection = await self._acquire(attempt.replica)
             attempt.reused = connection.stood > 0.0
             while (clearance := attempt.clear()) is Clearance.ASK_AGAIN:
                 await asyncio.sleep(0)
@@ -163,7 +163,7 @@
         except NoRoomError:
             attempt.ended(Outcome.MOOT)
         except Exception:
-            log.exception("attempt_failed", worker=attempt.worker.uid)
+            log.exception("attempt_failed", worker=attempt.replica.uid)
             attempt.ended(Outcome.RESET)
         finally:
             self.exchanges.pop(attempt, None)
@@ -179,7 +179,7 @@
         try:
             await connection.stream.write(encode_request(call.method, call.target, headers, call.body))
         except StreamClosedError:
-            # Not all of it was written: a worker begins with the last byte, so it has not run. A fresh
+            # Not all of it was written: a replica begins with the last byte, so it has not run. A fresh
             # try on a new connection is not ours to make: it would be an attempt nobody decided on.
             raise ConnectError from None
         parser, events = ResponseParser(), EventStream()
@@ -214,16 +214,16 @@
         except (StreamClosedError, HttpError, StreamError, TimeoutError) as error:
             load = events.load or (head.headers.get("srv-load") if head else "")
             if outcome in (Outcome.OK, Outcome.RESET) and not isinstance(error, StreamClosedError):
-                # The worker has run it and answered, if badly; its connections are not to blame.
+                # The replica has run it and answered, if badly; its connections are not to blame.
                 outcome = Outcome.ERROR
                 self.spoilt += 1
             return Answer(Outcome.RESET if outcome is Outcome.OK else outcome, load=load)
 
     # The connections
 
-    async def _acquire(self, worker: Worker) -> Connection:
+    async def _acquire(self, replica: Replica) -> Connection:
         self.sweep()
-        connections = self.idle.get(worker.number, deque())
+        connections = self.idle.get(replica.number, deque())
         settled = asyncio.get_running_loop().time() - SETTLE
         for connection in [one for one in reversed(connections) if one.idle_since <= settled]:
             connections.remove(connection)
@@ -234,12 +234,12 @@
             self._close(connection)
         if self.open >= self.most:
             self._make_room()
-        if worker.endpoint is None:
+        if replica.endpoint is None:
             raise ConnectError
         self.open += 1
         try:
             async with asyncio.timeout(self.connect_timeout):
-                return Connection(worker, await self.dial(worker.endpoint))
+                return Connection(replica, await self.dial(replica.endpoint))
         except BaseException as error:
             self.open -= 1
             if isinstance(error, OSError | StreamClosedError | TimeoutError):
@@ -247,32 +247,32 @@
             raise
 
     def _was_stale(self, connection: Connection) -> None:
-        """A kept connection broke under its next request: this worker closes them sooner than it should.
+        """A kept connection broke under its next request: this replica closes them sooner than it should.
 
         Its others are as old or older, and later ones are kept for half as long as this one stood.
         """
-        worker = connection.worker
-        if connection.stood <= 0.0 or worker.state == ReplicaState.GONE:
+        replica = connection.replica
+        if connection.stood <= 0.0 or replica.state == ReplicaState.GONE:
             return
-        self.forget(worker)
-        limit = self.limits.get(worker.number, self.keep_alive.longest)
-        self.limits[worker.number] = max(SHORTEST, min(limit, connection.stood / 2))
+        self.forget(replica)
+        limit = self.limits.get(replica.number, self.keep_alive.longest)
+        self.limits[replica.number] = max(SHORTEST, min(limit, connection.stood / 2))
 
     def _make_room(self) -> None:
-        """Close the connection idle for longest, whichever worker's; the descriptors are bounded."""
+        """Close the connection idle for longest, whichever replica's; the descriptors are bounded."""
         queues = [queue for queue in self.idle.values() if queue]
         if not queues:
             raise NoRoomError
         self._close(min(queues, key=lambda queue: queue[0].idle_since).popleft())
 
     def _release(self, connection: Connection) -> None:
-        worker = connection.worker
-        moved = worker.state != ReplicaState.READY or worker.endpoint != connection.endpoint
+        replica = connection.replica
+        moved = replica.state != ReplicaState.READY or replica.endpoint != connection.endpoint
         if moved or connection.pending.done() or connection.stream.closed():
             self._close(connection)
             return
         connection.idle_since = asyncio.get_running_loop().time()
-        self.idle.setdefault(worker.number, deque()).append(connection)
+        self.idle.setdefault(replica.number, deque()).append(connection)
 
     def _close(self, connection: Connection) -> None:
         self.open -= 1
@@ -294,5 +294,5 @@
     if head.status in (503, 504) and head.headers.get("srv-declined") == "1":
         return Outcome.FULL
     if 400 <= head.status < 500 and head.status not in (408, 429):
-        return Outcome.REJECTED  # a client's fault is no sign of a sick worker
+        return Outcome.REJECTED  # a client's fault is no sign of a sick replica
     return Outcome.ERROR
--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -15,7 +15,7 @@
 import structlog
 
 from lockspoke.memory.core import Core
-from lockspoke.memory.registry import UNKNOWN_VERSION, Registry
+from lockspoke.memory.replica_set import UNKNOWN_VERSION, ReplicaSet
 
 from .dialing import Dial, Endpoint, dial
 from .discovery import ListAnswer, ListError, ListRequest, decode_list, out_of_use_only
@@ -76,7 +76,7 @@
         self._current = None
         self.endpoint = endpoint
         # Versions are the word of the service that gave them: the first request asks for the whole list.
-        self.core.registry.rev = UNKNOWN_VERSION
+        self.core.replica_set.rev = UNKNOWN_VERSION
         self.watch(True)
 
     def close(self) -> None:
@@ -104,7 +104,7 @@
         assert core is not None
         if follower is not self._current or answer.faults:
             # Its version says nothing about this service's list, or more of this version has to be asked for.
-            update = replace(update, rev=core.registry.rev)
+            update = replace(update, rev=core.replica_set.rev)
         if update.entries or update.whole:
             log.info("registry_changed", rev=update.rev, whole=update.whole, entries=len(update.entries))
         if self._failing and not answer.faults:
@@ -206,9 +206,9 @@
                 await asyncio.sleep(NOTHING_NEW_PAUSE if early else 0)
 
     @property
-    def _replicas(self) -> Registry:
+    def _replicas(self) -> ReplicaSet:
         assert self._watch.core is not None
-        return self._watch.core.registry
+        return self._watch.core.replica_set
 
     def _believed(self, request: ListRequest, answer: ListAnswer) -> bool:
         """Whether an answer can take effect as it is; if not, the whole list is asked for next, at once."""
--- a/tests/lifecycle/test_housekeeping.py
+++ b/tests/lifecycle/test_housekeeping.py
@@ -11,7 +11,7 @@
 
 from hillridge.interface import ReplicaState
 from lockspoke.lifecycle.program import give_back
-from lockspoke.memory.registry import Entry
+from lockspoke.memory.replica_set import Entry
 from lockspoke.wire.discovery import decode_list
 from tests.peers import Gateway, Peer
 
@@ -39,7 +39,7 @@
 
 def sweeps(gateway: Gateway) -> None:
     gateway.core._sweep()
-    gateway.workers.sweep()
+    gateway.transport.sweep()
     gateway.front.sweep()
     give_back()
 
--- a/tests/memory/test_batch_store.py
+++ b/tests/memory/test_batch_store.py
@@ -215,7 +215,7 @@
         batch = await bench.batch(*lines(1))
         await until(lambda: len(bench.out()) == 1)
         call = bench.out()[0].call
-        bench.world.core.workers.stop(bench.out()[0])
+        bench.world.core.transport.stop(bench.out()[0])
         bench.out()[0].outcome = Outcome.FULL
         call.answered = True
         call.sink.refuse(5 * SECOND)
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -12,7 +12,7 @@
 from lockspoke.memory.calls import Attempt, Call, Clearance
 from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
 from lockspoke.memory.numbers import Numbers, key_number
-from lockspoke.memory.registry import UNKNOWN_VERSION, Entry, Registry, RegistryUpdate, Worker
+from lockspoke.memory.replica_set import UNKNOWN_VERSION, Entry, Replica, ReplicaSet, ReplicaUpdate
 from tests.hillridge.helpers import settings
 
 
@@ -56,16 +56,16 @@
         self.due: list[tuple[int, Callable[[], None]]] = []
         self.started: list[Attempt] = []
         self.stopped: list[Attempt] = []
-        self.forgotten: list[Worker] = []
+        self.forgotten: list[Replica] = []
         self.watches: list[bool] = []
         self.connects = True  # whether connections come up at once
         self.changes_unread = False  # whether discovery has written what is not in force yet
         self.more: set[Attempt] = set()  # of whose answers more has come than is passed on
-        self.core = Core(settings(**changes), 7, Registry(Numbers(), ["z"]), self, self, self)
+        self.core = Core(settings(**changes), 7, ReplicaSet(Numbers(), ["z"]), self, self, self)
         entries = tuple(
             Entry(f"w{i}", ReplicaState.READY, ("127.0.0.1", 5000 + i), "z") for i in range(workers)
         )
-        self.core.list_changed(RegistryUpdate(1, True, entries), cached=True)
+        self.core.list_changed(ReplicaUpdate(1, True, entries), cached=True)
 
     def now(self) -> int:
         return self.time
@@ -88,7 +88,7 @@
     def stop(self, attempt: Attempt) -> None:
         self.stopped.append(attempt)
 
-    def forget(self, worker: Worker) -> None:
+    def forget(self, worker: Replica) -> None:
         self.forgotten.append(worker)
 
     def watch(self, enable: bool) -> None:
@@ -137,7 +137,7 @@
     _, sink = world.call()
     world.started[0].ended(Outcome.CONNECT_FAILED)
     assert len(world.started) == 2 and sink.got == []
-    assert world.started[0].worker is not world.started[1].worker
+    assert world.started[0].replica is not world.started[1].replica
 
 
 def test_what_a_call_no_longer_needs_is_not_kept() -> None:
@@ -162,10 +162,10 @@
         world.time += SECOND
         new = Entry(f"n{n}", ReplicaState.READY, ("127.0.0.1", 7000 + n), "z")
         old = Entry(f"n{n - 1}", ReplicaState.GONE, None, "z")
-        world.core.list_changed(RegistryUpdate(2 + n, False, (new, old) if n else (new,)))
-    registry = world.core.registry
-    assert len(registry.workers) < 50 and len(registry.numbers._workers) < 50
-    assert registry.ready == 3
+        world.core.list_changed(ReplicaUpdate(2 + n, False, (new, old) if n else (new,)))
+    replica_set = world.core.replica_set
+    assert len(replica_set.replicas) < 50 and len(replica_set.numbers._replicas) < 50
+    assert replica_set.ready == 3
 
 
 def test_workers_of_one_kind_of_machine_are_of_one_kind_to_every_gateway() -> None:
@@ -175,9 +175,9 @@
     ]
     kinds = []
     for _ in range(2):
-        registry = Registry(Numbers(), ("z",))
+        registry = ReplicaSet(Numbers(), ("z",))
         told, _ = registry.apply(
-            RegistryUpdate(1, True, (*entries, Entry("k9", ReplicaState.READY, ("127.0.0.1", 9000))))
+            ReplicaUpdate(1, True, (*entries, Entry("k9", ReplicaState.READY, ("127.0.0.1", 9000))))
         )
         kinds.append([entry.kind for entry in told.entries])
     assert kinds[0] == kinds[1]
@@ -188,14 +188,14 @@
     """Discovery tells late that a machine has vanished; its name would bring its heir twice the work."""
     world = World()
     heir = Entry("heir", ReplicaState.READY, ("127.0.0.1", 5000), "z", boot_ms=world.time // MS - 100)
-    world.core.list_changed(RegistryUpdate(2, False, (heir,)))
+    world.core.list_changed(ReplicaUpdate(2, False, (heir,)))
     assert [worker.uid for worker in world.forgotten] == ["w0"]
     for _ in range(8):
         world.call()
-    assert "w0" not in {attempt.worker.uid for attempt in world.started}
+    assert "w0" not in {attempt.replica.uid for attempt in world.started}
     both = tuple(Entry(f"w{i}", ReplicaState.READY, ("127.0.0.1", 5000 + i), "z") for i in range(2))
-    world.core.list_changed(RegistryUpdate(3, True, (heir, *both)))  # it is still listed, and still gone
-    assert {w.uid for w in world.core.registry.workers.values() if w.state == ReplicaState.READY} == {
+    world.core.list_changed(ReplicaUpdate(3, True, (heir, *both)))  # it is still listed, and still gone
+    assert {w.uid for w in world.core.replica_set.replicas.values() if w.state == ReplicaState.READY} == {
         "heir",
         "w1",
     }
@@ -269,21 +269,21 @@
 
 
 def drained(world: World, call: Call) -> None:
-    uid = call.attempts[0].worker.uid
+    uid = call.attempts[0].replica.uid
     world.core.list_changed(
-        RegistryUpdate(2, False, (Entry(uid, ReplicaState.DRAINING, ("127.0.0.1", 5000), "z"),))
+        ReplicaUpdate(2, False, (Entry(uid, ReplicaState.DRAINING, ("127.0.0.1", 5000), "z"),))
     )
 
 
 def restarted(world: World, call: Call) -> None:
-    uid, endpoint = call.attempts[0].worker.uid, call.attempts[0].worker.endpoint
+    uid, endpoint = call.attempts[0].replica.uid, call.attempts[0].replica.endpoint
     world.core.list_changed(
-        RegistryUpdate(2, False, (Entry(uid, ReplicaState.READY, endpoint, "z", boot_ms=10**6),))
+        ReplicaUpdate(2, False, (Entry(uid, ReplicaState.READY, endpoint, "z", boot_ms=10**6),))
     )
 
 
 def banned(world: World, call: Call) -> None:
-    assert world.core.ban(call.attempts[0].worker.uid, True)
+    assert world.core.ban(call.attempts[0].replica.uid, True)
 
 
 @pytest.mark.parametrize("happens", [left, drained, restarted, banned])
@@ -299,8 +299,8 @@
     assert attempt.outcome is None
     assert attempt.clear() is Clearance.OVER and attempt.outcome is Outcome.MOOT
     # The one whose client still waits goes elsewhere at once.
-    others = [one.worker for one in world.started[1:]]
-    assert len(others) == (happens is not left) and attempt.worker not in others
+    others = [one.replica for one in world.started[1:]]
+    assert len(others) == (happens is not left) and attempt.replica not in others
     assert bool(world.core.calls) == (happens is not left)
 
 
@@ -485,9 +485,9 @@
 
     monkeypatch.setattr(world.core.balancer, "handle", broken)
     drain = Entry("w0", ReplicaState.DRAINING, ("127.0.0.1", 5000), "z")
-    world.core.list_changed(RegistryUpdate(2, False, (drain,)))
+    world.core.list_changed(ReplicaUpdate(2, False, (drain,)))
     monkeypatch.setattr(world.core.balancer, "handle", handle)
-    assert world.core.registry.rev == UNKNOWN_VERSION
+    assert world.core.replica_set.rev == UNKNOWN_VERSION
     world.call()
     assert world.started, "to the decisions it is ready still"
     assert {one.clear() for one in world.started} == {Clearance.OVER}
@@ -495,12 +495,12 @@
 
 def test_a_worker_that_drains_gets_nothing_new_and_its_connections_close() -> None:
     world = World()
-    told = RegistryUpdate(2, False, (Entry("w0", ReplicaState.DRAINING, ("127.0.0.1", 5000), "z"),))
+    told = ReplicaUpdate(2, False, (Entry("w0", ReplicaState.DRAINING, ("127.0.0.1", 5000), "z"),))
     world.core.list_changed(told)
     assert [worker.uid for worker in world.forgotten] == ["w0"]
     for _ in range(6):
         world.call()
-    assert {attempt.worker.uid for attempt in world.started} == {"w1"}
+    assert {attempt.replica.uid for attempt in world.started} == {"w1"}
 
 
 def test_an_operators_ban_does_not_end_the_asking_for_a_list_that_has_failed() -> None:
@@ -528,10 +528,8 @@
 
 def test_a_full_list_drops_what_it_does_not_name() -> None:
     world = World()
-    world.core.list_changed(
-        RegistryUpdate(3, True, (Entry("w1", ReplicaState.READY, ("127.0.0.1", 9), "z"),))
-    )
-    assert {worker.uid: worker.state for worker in world.core.registry.workers.values()} == {
+    world.core.list_changed(ReplicaUpdate(3, True, (Entry("w1", ReplicaState.READY, ("127.0.0.1", 9), "z"),)))
+    assert {worker.uid: worker.state for worker in world.core.replica_set.replicas.values()} == {
         "w0": ReplicaState.GONE,
         "w1": ReplicaState.READY,
     }
@@ -542,14 +540,14 @@
     world = World()
     call, _ = world.call()
     world.started[0].streamed(b"a")
-    world.core._send(call.number, world.started[0].worker.number, 0)
+    world.core._send(call.number, world.started[0].replica.number, 0)
     assert call.attempts[1].outcome is Outcome.MOOT and len(world.started) == 1
 
 
 def test_the_first_stream_calls_the_others_off() -> None:
     world = World()
     call, sink = world.call()
-    other = next(w for w in world.core.registry.workers.values() if w is not world.started[0].worker)
+    other = next(w for w in world.core.replica_set.replicas.values() if w is not world.started[0].replica)
     world.core._send(call.number, other.number, 0)
     world.started[1].streamed(b"a")
     assert world.stopped == [world.started[0]] and world.started[0].outcome is Outcome.CANCELLED
@@ -559,11 +557,11 @@
 
 def test_numbers_are_the_same_everywhere_and_never_shared() -> None:
     numbers = Numbers()
-    assert numbers.worker("s-1") == Numbers().worker("s-1") != numbers.worker("s-2")
+    assert numbers.replica("s-1") == Numbers().replica("s-1") != numbers.replica("s-2")
     assert numbers.call() != numbers.call()
     assert key_number("") == 0 != key_number("7f3a") < 1 << 64
-    numbers._taken.add(Numbers().worker("s-3"))
-    assert numbers.worker("s-3") != Numbers().worker("s-3")
+    numbers._taken.add(Numbers().replica("s-3"))
+    assert numbers.replica("s-3") != Numbers().replica("s-3")
 
 
 def test_the_list_is_asked_for_and_failures_are_told() -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -17,9 +17,9 @@
 from lockspoke.memory.calls import Discovery
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
-from lockspoke.memory.registry import Entry, Registry, RegistryUpdate
+from lockspoke.memory.replica_set import Entry, ReplicaSet, ReplicaUpdate
 from lockspoke.wire.clients import ClientFront
-from lockspoke.wire.workers import WorkerConnections
+from lockspoke.wire.replicas import ReplicaConnections
 from tests.hillridge.helpers import settings
 from tests.standins import PATIENCE
 
@@ -102,10 +102,10 @@
         self, *workers: Peer, connect: int = 20_000, discovery: Discovery | None = None, **changes: Any
     ) -> None:
         timers = LoopTimers()
-        self.registry = Registry(Numbers(), ["z"])
-        self.workers = WorkerConnections((), connect * MS, 60_000 * MS, 64, timers.now)
+        self.replica_set = ReplicaSet(Numbers(), ["z"])
+        self.transport = ReplicaConnections((), connect * MS, 60_000 * MS, 64, timers.now)
         told: Settings = settings(**{"classes": (RequestClass(),)} | changes)
-        self.core = Core(told, 7, self.registry, timers, self.workers, discovery or self)
+        self.core = Core(told, 7, self.replica_set, timers, self.transport, discovery or self)
         self.front = ClientFront(self.core, {"docs": 0}, 64, 48_000_000, lambda: True)
         self.rev = 0
         self.changes_unread = False  # what it tells is in force at once
@@ -114,7 +114,7 @@
     def tell(self, *entries: Entry) -> None:
         """What discovery has to say; the whole list at first."""
         self.rev += 1
-        self.core.list_changed(RegistryUpdate(self.rev, self.rev == 1, entries))
+        self.core.list_changed(ReplicaUpdate(self.rev, self.rev == 1, entries))
 
     def tell_of(self, *workers: Peer) -> None:
         """Discovery has found more replicas."""
@@ -132,7 +132,7 @@
     async def __aexit__(self, *_: object) -> None:
         self.front.listener.stop()
         self.front.listener.close_all()
-        self.workers.close()
+        self.transport.close()
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.sleep(0)
 
--- a/tests/wire/drain_play.py
+++ b/tests/wire/drain_play.py
@@ -22,12 +22,12 @@
 from lockspoke.memory.calls import Call
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
-from lockspoke.memory.registry import Entry, Registry, RegistryUpdate
+from lockspoke.memory.replica_set import Entry, ReplicaSet, ReplicaUpdate
 from lockspoke.wire.dialing import Endpoint
 from lockspoke.wire.discovery_link import GRACE as WATCH_GRACE
 from lockspoke.wire.http1 import Gatherer, Request
+from lockspoke.wire.replicas import ReplicaConnections
 from lockspoke.wire.watch import DiscoveryWatch, hold_of
-from lockspoke.wire.workers import WorkerConnections
 from tests.clocked import ClockedLoop, ClockedTimers, Network, Reach
 from tests.hillridge.helpers import settings
 from tests.standins import EVENTS, HEAD, TAIL, chunk
@@ -378,7 +378,7 @@
         index = self.random.randrange(gateways)
         self.watch = DiscoveryWatch(HOMES[0], hold_of(index, gateways), network.dial)
         self.discovery.on_move = partial(self.watch.move, HOMES[1])
-        workers = WorkerConnections((), SECOND, 10 * SECOND, 64, timers.now, network.dial)
+        workers = ReplicaConnections((), SECOND, 10 * SECOND, 64, timers.now, network.dial)
         told = settings(
             classes=(RequestClass(),),
             ask_for_list=self.random.random() < 0.8,
@@ -387,7 +387,7 @@
             index=index,
             may_duplicate=True,
         )
-        self.core = Core(told, seed, Registry(Numbers(), ["z"]), timers, workers, self.watch)
+        self.core = Core(told, seed, ReplicaSet(Numbers(), ["z"]), timers, workers, self.watch)
         self.watch.core = self.core
         self.workers = workers
 
@@ -430,7 +430,7 @@
     def _start(self) -> None:
         known = tuple(Entry(f"r{n}", ReplicaState.READY, (f"r{n}", 80), "z") for n in range(REPLICAS))
         self.core.start()
-        self.core.list_changed(RegistryUpdate(1, True, known), cached=True)
+        self.core.list_changed(ReplicaUpdate(1, True, known), cached=True)
 
     def _ban(self, uid: str, banned: bool) -> None:
         if self.core.ban(uid, banned):  # a replica that is gone and forgotten can't be banned
--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -21,8 +21,8 @@
 from lockspoke.wire.clients import ClientConnection
 from lockspoke.wire.discovery import LIST_LIMIT
 from lockspoke.wire.discovery_link import GRACE
+from lockspoke.wire.replicas import SETTLE
 from lockspoke.wire.watch import NOTHING_NEW_PAUSE, DiscoveryWatch
-from lockspoke.wire.workers import SETTLE
 from tests.peers import Gateway, Line, Peer
 from tests.standins import EVENTS, HEAD, TAIL, call_bytes, chunk, until
 
@@ -75,7 +75,7 @@
 
     def state(self, uid: str) -> ReplicaState:
         """What the list in force says of a replica."""
-        return next(one.state for one in self.gateway.registry.workers.values() if one.uid == uid)
+        return next(one.state for one in self.gateway.replica_set.replicas.values() if one.uid == uid)
 
     async def warm(self, client: Line) -> dict[str, Line]:
         """A connection kept idle to each replica, by uid."""
@@ -89,11 +89,11 @@
             number += 1
             client.send(call_bytes(number))
             await until(lambda: bool(self.gateway.core.calls))
-            await until(lambda: len(self.gateway.workers.exchanges) == 1)
+            await until(lambda: len(self.gateway.transport.exchanges) == 1)
             for done in [one for one in accepting if one.done()]:
                 lines[accepting.pop(done)] = done.result()
-            (exchange,) = self.gateway.workers.exchanges
-            line = lines[exchange.worker.uid]
+            (exchange,) = self.gateway.transport.exchanges
+            line = lines[exchange.replica.uid]
             await line.read(b"{}")
             line.send(ANSWER)
             await client.read(b"0\r\n\r\n")
@@ -104,7 +104,7 @@
     def picked(self) -> tuple[str, Peer]:
         """The replica that the request was decided for."""
         (call,) = self.gateway.core.calls.values()
-        uid = call.attempts[0].worker.uid
+        uid = call.attempts[0].replica.uid
         return uid, self.first if uid == "w0" else self.second
 
 
@@ -153,7 +153,7 @@
             await asyncio.sleep(0.01)
         line.send(scene.drain_of_the_first)
         time.sleep(max(0.0, held - asyncio.get_running_loop().time()))
-        await until(lambda: scene.gateway.registry.rev == 2)
+        await until(lambda: scene.gateway.replica_set.rev == 2)
         assert scene.state("w0") is ReplicaState.DRAINING
 
     play(test, hold_ms=SHORT_HOLD_MS)
@@ -169,7 +169,7 @@
         taken = await slow.accept()
         assert b"from=" not in await taken.read(b"\r\n\r\n"), "versions are each service's own"
         await until(lambda: scene.state("w0") is ReplicaState.DRAINING)
-        assert scene.gateway.registry.rev == -1
+        assert scene.gateway.replica_set.rev == -1
 
     play(test)
 
@@ -195,7 +195,7 @@
         line = await scene.watching()
         line.send(answer(2, target("w0", scene.first, "draining"), bad))
         await until(lambda: scene.state("w0") is ReplicaState.DRAINING)
-        assert scene.gateway.registry.rev == 1, "the same is asked for again"
+        assert scene.gateway.replica_set.rev == 1, "the same is asked for again"
 
     play(test)
 
--- a/tests/wire/test_keepalive.py
+++ b/tests/wire/test_keepalive.py
@@ -8,10 +8,10 @@
 
 from hillridge.interface import Outcome, ReplicaState
 from lockspoke.memory.calls import Attempt, Call, Clearance
-from lockspoke.memory.registry import Worker
+from lockspoke.memory.replica_set import Replica
 from lockspoke.wire.clients import StreamedAnswer
 from lockspoke.wire.keepalive import BACK, SHORTEST, KeepAlive
-from lockspoke.wire.workers import MS, SETTLE, WorkerConnections
+from lockspoke.wire.replicas import MS, SETTLE, ReplicaConnections
 from tests.standins import until
 
 START = 5_000_000.0  # a machine that has been up for long
@@ -80,9 +80,9 @@
         server = await asyncio.start_server(answer, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         told, loop = Told(), asyncio.get_running_loop()
-        connections = WorkerConnections((), 5_000 * MS, 10_000 * MS, 8, time.time_ns)
+        connections = ReplicaConnections((), 5_000 * MS, 10_000 * MS, 8, time.time_ns)
 
-        async def ask(target: str, worker: Worker) -> Outcome:
+        async def ask(target: str, worker: Replica) -> Outcome:
             call = Call(StreamedAnswer.__new__(StreamedAnswer), 0, 0, "1", "POST", target, {}, b"")
             now = time.time_ns()
             count = len(told.ends)
@@ -91,7 +91,7 @@
             return told.ends[-1]
 
         try:
-            first, second = (Worker(n, str(n), ("127.0.0.1", port), ReplicaState.READY, 0) for n in (1, 2))
+            first, second = (Replica(n, str(n), ("127.0.0.1", port), ReplicaState.READY, 0) for n in (1, 2))
             assert await ask("/", first) is Outcome.OK
             idle = connections.idle[1][0]
             await until(lambda: loop.time() > idle.idle_since + SETTLE)
--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -12,9 +12,9 @@
 from tornado.iostream import IOStream
 
 from hillridge.interface import Effect, Outcome, ReplicaState, RequestClass
-from lockspoke.memory.registry import Entry
+from lockspoke.memory.replica_set import Entry
 from lockspoke.wire import dialing
-from lockspoke.wire import workers as worker_side
+from lockspoke.wire import replicas as replica_side
 from lockspoke.wire.clients import LINGER, ClientConnection, Intake
 from lockspoke.wire.listener import Outbox
 from tests.peers import Gateway, Line, Peer
@@ -159,8 +159,8 @@
         await first.read(b"{}")
         first.send(ANSWER)
         await client.read(chunk(b""))
-        (idle,) = gateway.workers.idle[next(iter(gateway.registry.workers))]
-        await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + worker_side.SETTLE)
+        (idle,) = gateway.transport.idle[next(iter(gateway.replica_set.replicas))]
+        await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + replica_side.SETTLE)
         client.send(call_bytes(2))
         # Taken from the client without the loop's looking at the worker's connection.
         taken = served(gateway)
@@ -211,7 +211,7 @@
 
 
 async def drains(gateway: Gateway, client: Line) -> None:
-    (worker,) = gateway.registry.workers.values()
+    (worker,) = gateway.replica_set.replicas.values()
     gateway.tell(Entry(worker.uid, ReplicaState.DRAINING, worker.endpoint, "z"))
     gateway.tell(Entry(worker.uid, ReplicaState.READY, ("127.0.0.1", 9), "z"))  # it comes back elsewhere
 
@@ -231,7 +231,7 @@
         late = await peer.let_in()
         await until(lambda: call.attempts[0].outcome is not None)
         assert call.attempts[0].outcome is Outcome.MOOT
-        gateway.workers.close()
+        gateway.transport.close()
         assert await late.rest() == b""
 
     play(test, full=True)
@@ -284,8 +284,8 @@
         await worker.read(b"{}")
         worker.send(ANSWER)
         await client.read(chunk(b""))
-        (idle,) = gateway.workers.idle[next(iter(gateway.registry.workers))]
-        await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + worker_side.SETTLE)
+        (idle,) = gateway.transport.idle[next(iter(gateway.replica_set.replicas))]
+        await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + replica_side.SETTLE)
         client.send(call_bytes(2) + (call_bytes(3) if pipelined else b""))
         taken = served(gateway)
         taken._take(taken.stream.socket.recv(65536))
@@ -294,7 +294,7 @@
         time.sleep(HELD)
         await until(lambda: gateway.core.totals["left"] == 1 and not gateway.core.calls)
         assert gateway.core.totals["outcome_moot"] == 1
-        gateway.workers.close()
+        gateway.transport.close()
         assert await worker.rest() == b"", "nothing came on the connection that was kept"
 
     play(test)
--- a/tests/wire/test_watch.py
+++ b/tests/wire/test_watch.py
@@ -10,7 +10,7 @@
 from tornado.iostream import IOStream
 
 from lockspoke.memory.core import Core
-from lockspoke.memory.registry import UNKNOWN_VERSION
+from lockspoke.memory.replica_set import UNKNOWN_VERSION
 from lockspoke.wire import discovery_link, watch
 from lockspoke.wire.dialing import dial
 from lockspoke.wire.http1 import Request
@@ -24,7 +24,7 @@
     """What the watch tells the core."""
 
     def __init__(self, rev: int) -> None:
-        self.registry, self.rev, self.ready = self, rev, 1
+        self.replica_set, self.rev, self.ready = self, rev, 1
         self.lists: list[Any] = []
         self.failed = 0
         self.on_change: Callable[[], None] | None = None  # what crosses the next list, once
--- a/tests/wire/test_wire_fields.py
+++ b/tests/wire/test_wire_fields.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from hillridge.interface import ReplicaState
-from lockspoke.memory.registry import UNKNOWN_VERSION
+from lockspoke.memory.replica_set import UNKNOWN_VERSION
 from lockspoke.wire.discovery import STATES, ListError, decode_list, out_of_use_only
 from lockspoke.wire.fields import decode_call, decode_load
 from lockspoke.wire.http1 import Headers, HttpError
