Names: a client's request is a ClientRequest, no longer a call

The core's calls were the requests of its own protocol and of the decisions. memory/calls.py is memory/requests.py; Core.requests, Attempt.request, ClientConnection.open_request. Log events and totals, which operators read, and the batch front's own words keep their names.

--- a/lockspoke/lifecycle/address.py
+++ b/lockspoke/lifecycle/address.py
@@ -144,8 +144,8 @@
                 if connection.stream.closed():
                     leaving.discard(connection)
             if leaving and self.gateway.resumes and loop.time() >= end:
-                calls = [one.call for one in leaving if one.call is not None]
-                self.core.hand_over(calls)
+                open_requests = [one.open_request for one in leaving if one.open_request is not None]
+                self.core.hand_over(open_requests)
                 end = float("inf")
             await asyncio.sleep(0.05)
 
--- a/lockspoke/lifecycle/drain.py
+++ b/lockspoke/lifecycle/drain.py
@@ -74,7 +74,7 @@
 
     async def _answer_what_is_open(self) -> None:
         loop, listener = asyncio.get_running_loop(), self.clients.listener
-        while listener.connections or self.core.calls:
+        while listener.connections or self.core.requests:
             listener.close_idle(QUIET)
             if (now := loop.time()) >= self.kill - HAND_OVER:
                 # What a kill finds open is lost; given away in time, clients ask for the rest elsewhere. Not
@@ -83,7 +83,7 @@
             await asyncio.sleep(FINE_POLL)
 
     def _turn_away(self) -> None:
-        """Take no more calls: connections that clients still have here lead on to other gateways."""
+        """Take no more requests: connections that clients still have here lead on to other gateways."""
         if not self._over:
             self.enter(Phase.TURNING_AWAY)
             self.clients.intake = Intake.CLOSED
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -238,7 +238,7 @@
     def _tell_totals(self) -> None:
         log.info(
             "totals",
-            open_calls=len(self.core.calls),
+            open_calls=len(self.core.requests),
             clients=len(self.clients.listener.connections),
             workers=self.transport.open,
             spoilt=self.transport.spoilt,
--- a/lockspoke/memory/batch_runner.py
+++ b/lockspoke/memory/batch_runner.py
@@ -13,9 +13,9 @@
 import structlog
 
 from .batch_store import Batch, BatchStore, End
-from .calls import Call, Sink
 from .core import SECOND, Core
 from .journal import StoreError
+from .requests import ClientRequest, Sink
 
 LOOK = 0.05  # seconds between two looks for room while live calls go first
 RETRY = 1.0  # seconds before another try where nobody said how long
@@ -60,7 +60,7 @@
     def index(self, batch: Batch) -> tuple[array[int], dict[int, int]]:
         """Check a file: where each line begins, and deadlines of lines' own, in ms from the batch's start."""
 
-    def call(self, batch: Batch, place: int, sink: Sink, left: float) -> tuple[Call, Collector]:
+    def call(self, batch: Batch, place: int, sink: Sink, left: float) -> tuple[ClientRequest, Collector]:
         """The call for the line at a place, for so many seconds at most, and what collects its answer."""
 
     def custom_id(self, batch: Batch, place: int) -> str:
--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -1,7 +1,7 @@
-"""The core: feeds the decisions with events, carries out their actions, and owes each call one answer.
+"""The core: feeds the decisions with events, carries out their actions, and owes each request one answer.
 
-It knows no wire. Fronts hand it a `Call` with a sink for the answer; replicas and discovery are reached
-through the small interfaces of `calls.py`.
+It knows no wire. Fronts hand it a `ClientRequest` with a sink for the answer; replicas and discovery are
+reached through the small interfaces of `requests.py`.
 """
 
 from __future__ import annotations
@@ -16,8 +16,8 @@
 from hillridge import Balancer
 from hillridge import interface as api
 
-from .calls import Attempt, Call, Clearance, Discovery, Stage, Transport
 from .replica_set import UNKNOWN_VERSION, ReplicaSet, ReplicaUpdate
+from .requests import Attempt, Clearance, ClientRequest, Discovery, Stage, Transport
 
 MS = 1_000_000
 SECOND = 1_000 * MS
@@ -45,11 +45,11 @@
         """The earliest moment at which what is taken up now can have come: a busy loop reads late."""
 
     def later(self, delay: int, callback: Callable[[], None]) -> Timer:
-        """Call back after so many nanoseconds."""
+        """ClientRequest back after so many nanoseconds."""
 
 
 class Core:
-    """All that one gateway keeps of its calls."""
+    """All that one gateway keeps of its requests."""
 
     def __init__(
         self,
@@ -65,9 +65,9 @@
         self.timers = timers
         self.transport = transport
         self.discovery = discovery
-        self.calls: dict[int, Call] = {}
+        self.requests: dict[int, ClientRequest] = {}
         self.totals: Counter[str] = Counter()
-        self.live_refused_at = 0  # when a call that somebody waits for was last turned away
+        self.live_refused_at = 0  # when a request that somebody waits for was last turned away
         self._events: deque[api.Event] = deque()
         self._busy = False
         self._asks = settings.ask_for_list
@@ -87,37 +87,37 @@
 
     # What fronts and discovery say
 
-    def submit(self, call: Call) -> None:
-        """Take a call; from here on it is owed one final answer."""
-        call.number = self.replica_set.numbers.call()
+    def submit(self, request: ClientRequest) -> None:
+        """Take a request; from here on it is owed one final answer."""
+        request.number = self.replica_set.numbers.request()
         now = self.timers.now()
-        call.deadline = (call.arrived or now) + call.time_left
-        call.kind = self.balancer.settings.classes[call.request_class]
-        self.calls[call.number] = call
+        request.deadline = (request.arrived or now) + request.time_left
+        request.kind = self.balancer.settings.classes[request.request_class]
+        self.requests[request.number] = request
         self.totals["calls"] += 1
         self._post(
             api.Arrived(
-                request=call.number,
-                time_left=max(0, call.deadline - now),
-                request_class=call.request_class,
-                tenant=call.tenant,
-                session=call.session,
-                prefix=call.prefix,
-                prompt_tokens=call.prompt_tokens,
-                prefix_tokens=call.prefix_tokens,
-                max_tokens=call.max_tokens,
-                client_retry=call.client_retry,
+                request=request.number,
+                time_left=max(0, request.deadline - now),
+                request_class=request.request_class,
+                tenant=request.tenant,
+                session=request.session,
+                prefix=request.prefix,
+                prompt_tokens=request.prompt_tokens,
+                prefix_tokens=request.prefix_tokens,
+                max_tokens=request.max_tokens,
+                client_retry=request.client_retry,
             )
         )
 
-    def client_left(self, call: Call) -> None:
+    def client_left(self, request: ClientRequest) -> None:
         """The client is gone: nothing is owed any more, but what has been sent for it runs on."""
-        if call.answered:
+        if request.answered:
             return
         # A replica does not stop for a client that left; read to its end, the stream still tells the
         # decisions how busy that replica is.
-        self._answered(call, "left")
-        self._post(api.ClientLeft(call.number))
+        self._answered(request, "left")
+        self._post(api.ClientLeft(request.number))
 
     def list_changed(self, update: ReplicaUpdate, cached: bool = False, answers: bool = True) -> None:
         """The list of replicas, or a change of it; `answers`: it ends the request that is out, or due."""
@@ -141,42 +141,42 @@
         return True
 
     def list_failed(self) -> None:
-        """A call for the list has failed; the old list still holds."""
+        """A request for the list has failed; the old list still holds."""
         self.totals["list_failed"] += 1
         self._post(api.ListUpdate(api.ListKind.FAILED))
         if not self._asks:
             self.timers.later(SECOND, lambda: self.discovery.watch(True))
 
     def hand_over(
-        self, calls: Iterable[Call] | None = None, streams: bool = True, at_once: bool = True
+        self, requests: Iterable[ClientRequest] | None = None, streams: bool = True, at_once: bool = True
     ) -> None:
-        """Give calls away to other gateways: those named, or all; streams too where clients ask for the rest.
+        """Give requests away to other gateways: those named, or all; streams too if clients ask for the rest.
 
         A stream ends without its end, and its client goes on elsewhere. If that is not pressing (`at_once`),
         one of which more has come than was passed on is let go on meanwhile: its replica may have finished
-        it. A call that has not begun gets an overload reply if it may be repeated. What replicas still run
+        it. A request that has not begun gets an overload reply if it may be repeated. What replicas still run
         for them is of no use any more.
         """
-        for call in list(self.calls.values() if calls is None else calls):
-            if call.owner is not None and call.owner.outcome is None and not call.answered:
+        for request in list(self.requests.values() if requests is None else requests):
+            if request.owner is not None and request.owner.outcome is None and not request.answered:
                 if not streams:
                     continue
-                call.leaving = True
-                self._unthrottle(call.owner)
-                if not at_once and self.transport.unread(call.owner):
+                request.leaving = True
+                self._unthrottle(request.owner)
+                if not at_once and self.transport.unread(request.owner):
                     continue
-            if not call.answered:
-                if call.owner is not None:
-                    self._answered(call, "handed_over")
-                    call.sink.broken()
-                elif call.refusable:
-                    self._answered(call, "refused")
-                    call.sink.refuse(0)
+            if not request.answered:
+                if request.owner is not None:
+                    self._answered(request, "handed_over")
+                    request.sink.broken()
+                elif request.refusable:
+                    self._answered(request, "refused")
+                    request.sink.refuse(0)
                 else:
-                    self._answered(call, "failed")
-                    call.sink.fail()
-                self._post(api.ClientLeft(call.number))
-            for attempt in call.attempts:
+                    self._answered(request, "failed")
+                    request.sink.fail()
+                self._post(api.ClientLeft(request.number))
+            for attempt in request.attempts:
                 self._give_up(attempt, api.Outcome.CANCELLED)
 
     def _give_up(self, attempt: Attempt, outcome: api.Outcome) -> None:
@@ -186,12 +186,12 @@
             self.ended(attempt, outcome if attempt.maybe_ran else api.Outcome.MOOT)
 
     def live_held(self) -> bool:
-        """Whether a call that somebody waits for is held, since no replica has room for it."""
+        """Whether a request that somebody waits for is held, since no replica has room for it."""
         return any(
-            not call.background
-            and not call.answered
-            and all(one.outcome is not None for one in call.attempts)
-            for call in self.calls.values()
+            not request.background
+            and not request.answered
+            and all(one.outcome is not None for one in request.attempts)
+            for request in self.requests.values()
         )
 
     # What attempts say
@@ -204,37 +204,37 @@
         A busy loop reads late, so what lies unread from discovery or the client is taken first: both count
         from when they were written. This is the one way to a first byte, for every attempt of every front.
         """
-        now, call, replica = self.timers.now(), attempt.call, attempt.replica
+        now, request, replica = self.timers.now(), attempt.request, attempt.replica
         if attempt.outcome is not None:
             return Clearance.OVER
         late = now >= attempt.deadline or (attempt.begin_by and now >= attempt.begin_by)
         moved = replica.place != attempt.place or not self.replica_set.takes(replica)
-        if call.answered or call.owner is not None or late or moved:
+        if request.answered or request.owner is not None or late or moved:
             self.ended(attempt, api.Outcome.MOOT)
             return Clearance.OVER
-        if self.discovery.changes_unread or call.sink.unread:
+        if self.discovery.changes_unread or request.sink.unread:
             return Clearance.ASK_AGAIN
         attempt.stage = Stage.SENT
         return Clearance.SEND
 
     def streamed(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
-        """A piece of a stream: the first makes the call this attempt's, all pass on as they come."""
-        call = attempt.call
+        """A piece of a stream: the first makes the request this attempt's, all pass on as they come."""
+        request = attempt.request
         if attempt.outcome is not None:
             return None
         attempt.heard_at = self.timers.now()
-        if call.owner is None:
-            call.owner, attempt.stage = attempt, Stage.STREAMING
-            call.body = b""  # nothing is sent again for a call that streams, and streams are long
+        if request.owner is None:
+            request.owner, attempt.stage = attempt, Stage.STREAMING
+            request.body = b""  # nothing is sent again for a request that streams, and streams are long
             self._call_off(attempt)
             self._first_token(attempt)
-            for other in call.attempts:
+            for other in request.attempts:
                 if other is not attempt:
                     self._give_up(other, api.Outcome.CANCELLED)
-        if call.answered or call.owner is not attempt:
+        if request.answered or request.owner is not attempt:
             return None
-        written = call.sink.event(data)
-        if written is None or call.leaving:
+        written = request.sink.event(data)
+        if written is None or request.leaving:
             return None
         attempt.waits_for_client = asyncio.get_running_loop().create_future()
         written.add_done_callback(lambda _: self._unthrottle(attempt))
@@ -251,7 +251,7 @@
     def _first_token(self, attempt: Attempt) -> None:
         elapsed = attempt.heard_at - attempt.sent_at
         number = attempt.replica.number
-        self._post(api.FirstToken(attempt.call.number, attempt.index, number, elapsed))
+        self._post(api.FirstToken(attempt.request.number, attempt.index, number, elapsed))
 
     def ended(
         self,
@@ -260,36 +260,36 @@
         cached_tokens: int = 0,
         report: tuple[float, ...] = (),
     ) -> None:
-        """An attempt is over; what it means for its call follows from whether it had begun to stream."""
+        """An attempt is over; what it means for its request follows from whether it had begun to stream."""
         if attempt.outcome is not None:
             return
         attempt.outcome = outcome
         self._call_off(attempt)
-        call = attempt.call
+        request = attempt.request
         self.totals[f"outcome_{outcome.name.lower()}"] += 1
-        if not call.answered:
+        if not request.answered:
             if outcome is api.Outcome.OK:
-                self._answered(call, "served")
-                call.sink.end()
-            elif call.owner is attempt:
-                self._answered(call, "broken")
-                call.sink.broken()
+                self._answered(request, "served")
+                request.sink.end()
+            elif request.owner is attempt:
+                self._answered(request, "broken")
+                request.sink.broken()
         elapsed = self.timers.now() - attempt.sent_at
         number = attempt.replica.number
         self._post(
             api.AttemptEnded(
-                call.number,
+                request.number,
                 attempt.index,
                 number,
                 outcome,
                 elapsed,
-                call.answered,
+                request.answered,
                 cached_tokens,
                 report,
                 attempt.reused,
             )
         )
-        self._drop_if_over(call)
+        self._drop_if_over(request)
 
     # The decisions
 
@@ -326,17 +326,17 @@
             case api.Send(number, replica, timeout, begin_within):
                 self._send(number, replica, timeout, begin_within)
             case api.Refuse(number, retry_after):
-                call = self.calls.get(number)
-                if call is not None and not call.answered:
-                    if not call.background:
+                request = self.requests.get(number)
+                if request is not None and not request.answered:
+                    if not request.background:
                         self.live_refused_at = self.timers.now()
-                    self._answered(call, "refused")
-                    call.sink.refuse(retry_after)
+                    self._answered(request, "refused")
+                    request.sink.refuse(retry_after)
             case api.Fail(number):
-                call = self.calls.get(number)
-                if call is not None and not call.answered:
-                    self._answered(call, "failed")
-                    call.sink.fail()
+                request = self.requests.get(number)
+                if request is not None and not request.answered:
+                    self._answered(request, "failed")
+                    request.sink.fail()
             case api.SetTimer(delay, token):
                 self.timers.later(delay, lambda: self._post(api.TimerFired(token)))
             case api.Watch(enable):
@@ -345,17 +345,17 @@
                 log.warning("decision", text=text)
 
     def _send(self, number: int, replica_number: int, timeout: int, begin_within: int = 0) -> None:
-        call, replica = self.calls.get(number), self.replica_set.replicas.get(replica_number)
-        if call is None or replica is None:
+        request, replica = self.requests.get(number), self.replica_set.replicas.get(replica_number)
+        if request is None or replica is None:
             log.error("send_unknown", call=number, worker=replica_number)
             return
         now = self.timers.now()
-        deadline = min(now + timeout, call.deadline) if timeout else call.deadline
-        attempt = Attempt(call, len(call.attempts), replica, now, deadline, self)
+        deadline = min(now + timeout, request.deadline) if timeout else request.deadline
+        attempt = Attempt(request, len(request.attempts), replica, now, deadline, self)
         attempt.place = replica.place
         attempt.begin_by = now + begin_within if begin_within else 0
-        call.attempts.append(attempt)
-        if call.answered or call.owner is not None or now >= deadline:
+        request.attempts.append(attempt)
+        if request.answered or request.owner is not None or now >= deadline:
             self.ended(attempt, api.Outcome.MOOT)
             return
         self.totals["attempts"] += 1
@@ -370,33 +370,33 @@
 
     def _timed_out(self, attempt: Attempt) -> None:
         # A stream that has begun has no deadline.
-        if attempt.call.owner is not attempt:
+        if attempt.request.owner is not attempt:
             self._give_up(attempt, api.Outcome.TIMEOUT)
 
-    # The end of a call
+    # The end of a request
 
-    def _answered(self, call: Call, how: str) -> None:
-        call.answered = True
+    def _answered(self, request: ClientRequest, how: str) -> None:
+        request.answered = True
         self.totals[how] += 1
-        self._drop_if_over(call)
+        self._drop_if_over(request)
 
-    def _drop_if_over(self, call: Call) -> None:
-        if call.over and self.calls.pop(call.number, None) is not None:
-            call.body = b""
+    def _drop_if_over(self, request: ClientRequest) -> None:
+        if request.over and self.requests.pop(request.number, None) is not None:
+            request.body = b""
 
     def _sweep(self) -> None:
         now = self.timers.now()
-        for call in list(self.calls.values()):
-            owner = call.owner
+        for request in list(self.requests.values()):
+            owner = request.owner
             if owner is not None and owner.outcome is None:
                 # A machine that vanished leaves its connections open and silent: its client would wait
                 # for ever, where it could ask for the rest.
                 if owner.waits_for_client is None and now - owner.heard_at > SILENT:
                     self.transport.stop(owner)
                     self.ended(owner, api.Outcome.RESET)
-            elif not call.answered and owner is None and now > call.deadline + OVERDUE:
-                self._answered(call, "overdue")
-                log.error("answer_overdue", call=call.number)
-                call.sink.fail()
-                self._post(api.ClientLeft(call.number))
+            elif not request.answered and owner is None and now > request.deadline + OVERDUE:
+                self._answered(request, "overdue")
+                log.error("answer_overdue", call=request.number)
+                request.sink.fail()
+                self._post(api.ClientLeft(request.number))
         self.timers.later(SWEEP, self._sweep)
--- a/lockspoke/memory/numbers.py
+++ b/lockspoke/memory/numbers.py
@@ -22,7 +22,7 @@
 
 
 class Numbers:
-    """Numbers replicas and calls.
+    """Numbers replicas and requests.
 
     A replica's number comes from its uid alone: the decisions rank replicas by it, and all gateways have to
     find the same ranks without a word to one another.
@@ -48,7 +48,7 @@
         """A replica that is gone for good: named again, it would get the same number, its hash."""
         self._taken.discard(self._replicas.pop(uid, -1))
 
-    def call(self) -> int:
-        """The next call's number; a client's id may come twice, this does not."""
+    def request(self) -> int:
+        """The next request's number; a client's id may come twice, this does not."""
         self._calls = (self._calls + 1) % (1 << 32)
         return self._calls
--- a/lockspoke/memory/calls.py
+++ b/lockspoke/memory/requests.py
@@ -1,4 +1,4 @@
-"""Calls, and their attempts: a request that is owed an answer, and each try at a replica."""
+"""Requests, and their attempts: a request that is owed an answer, and each try at a replica."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class Sink(Protocol):
-    """Where the answer to a call goes. Exactly one of `end`, `broken`, `refuse` and `fail` is called."""
+    """Where the answer to a request goes. Exactly one of `end`, `broken`, `refuse` and `fail` is called."""
 
     @property
     def unread(self) -> bool:
@@ -39,7 +39,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Call:
+class ClientRequest:
     """A client's request, whichever front it came by."""
 
     sink: Sink
@@ -62,7 +62,7 @@
     # Filled by the core:
     number: int = 0
     deadline: int = 0
-    kind: RequestClass = field(default_factory=RequestClass)  # as the settings had it when the call came
+    kind: RequestClass = field(default_factory=RequestClass)  # as the settings had it when the request came
     attempts: list[Attempt] = field(default_factory=list)
     owner: Attempt | None = None  # the one that streams
     answered: bool = False
@@ -86,7 +86,7 @@
 
     CONNECTING = "connecting"  # no byte of it is written: it has surely not run, and may be told not to begin
     SENT = "sent"  # its first byte is on its way: from here on it may have run
-    STREAMING = "streaming"  # its stream is the call's answer
+    STREAMING = "streaming"  # its stream is the request's answer
 
 
 class Clearance(Enum):
@@ -114,9 +114,9 @@
 
 @dataclass(eq=False, slots=True)
 class Attempt:
-    """One attempt of a call at one replica."""
+    """One attempt of a request at one replica."""
 
-    call: Call
+    request: ClientRequest
     index: int
     replica: Replica
     sent_at: int
@@ -133,8 +133,8 @@
 
     @property
     def streaming(self) -> bool:
-        """Whether its stream has begun to pass on: the call is its own."""
-        return self.call.owner is self
+        """Whether its stream has begun to pass on: the request is its own."""
+        return self.request.owner is self
 
     @property
     def maybe_ran(self) -> bool:
--- a/lockspoke/wire/batch_lines.py
+++ b/lockspoke/wire/batch_lines.py
@@ -9,9 +9,9 @@
 
 from lockspoke.memory.batch_runner import Answer, BadLinesError
 from lockspoke.memory.batch_store import Batch, BatchStore, End
-from lockspoke.memory.calls import Call, Sink
 from lockspoke.memory.core import SECOND
 from lockspoke.memory.numbers import key_number
+from lockspoke.memory.requests import ClientRequest, Sink
 
 from .batch_api import AnswerCollector, Line, LineError, decode_line, line_error, measure, result_line
 from .http1 import BODY_LIMIT
@@ -74,7 +74,9 @@
         """The name that the client gave the line at a place."""
         return self._read(batch, place).custom_id
 
-    def call(self, batch: Batch, place: int, sink: Sink, left: float) -> tuple[Call, AnswerCollector]:
+    def call(
+        self, batch: Batch, place: int, sink: Sink, left: float
+    ) -> tuple[ClientRequest, AnswerCollector]:
         """The call for a line, whatever stream or none it asked for: workers stream, the front assembles."""
         line = self._read(batch, place)
         prompt = measure(line.body)
@@ -83,7 +85,7 @@
         extra = f"prompt_len={prompt.tokens:.0f},prefix_len={prompt.prefix_tokens:.0f}"
         extra += f",max_out={prompt.max_tokens:.0f}" + (f",prefix={prefix}" if prefix else "")
         request_id = secrets.token_hex(8)
-        call = Call(
+        call = ClientRequest(
             sink=sink,
             request_class=self.request_class,
             time_left=max(1, min(self.longest, int(left * SECOND))),
--- a/lockspoke/wire/clients.py
+++ b/lockspoke/wire/clients.py
@@ -11,9 +11,9 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from lockspoke.memory.calls import Call
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import key_number
+from lockspoke.memory.requests import ClientRequest
 
 from .closing import quiet
 from .fields import decode_call
@@ -51,7 +51,7 @@
 
 
 class Intake(Enum):
-    """What the front does with a call that comes now."""
+    """What the front does with a request that comes now."""
 
     OPEN = "open"  # taken; its connection is kept for the next
     LAST = "last"  # taken; its connection ends with the answer
@@ -74,7 +74,7 @@
         self.ready = ready
         self.intake = Intake.OPEN
         self.held_bytes = 0
-        self.open_ids: set[str] = set()  # of calls that are owed an answer
+        self.open_ids: set[str] = set()  # of requests that are owed an answer
         self.listener = Listener(lambda stream: ClientConnection(self, stream), most)
         self.reconfigure(classes, most, most_bytes, tenants)
 
@@ -130,7 +130,7 @@
         self.gatherer = Gatherer()
         self.held = 0  # bytes of requests, read or half read
         self.waiting: deque[Received | HttpError] = deque()
-        self.call: Call | None = None
+        self.open_request: ClientRequest | None = None
         self.asked = False  # whether a byte has ever come
         self.phase = Phase.SERVING
         self.leaving = False  # the address that it came by has gone elsewhere: it ends after this answer
@@ -139,7 +139,9 @@
     @property
     def idle(self) -> bool:
         """Between two requests."""
-        return self.call is None and not self.waiting and self.gatherer.idle and not self.outbox.unsent
+        return (
+            self.open_request is None and not self.waiting and self.gatherer.idle and not self.outbox.unsent
+        )
 
     async def run(self) -> None:
         """Read until the client closes; the read that is always pending notices that at once."""
@@ -157,10 +159,10 @@
         except StreamClosedError:
             pass
         finally:
-            call = self._let_go()
-            self._hold(0)  # without the call: its bytes are given back too, or the bound fills by and by
-            if call is not None:
-                self.front.core.client_left(call)
+            released = self._let_go()
+            self._hold(0)  # without the request: its bytes are given back too, or the bound fills by and by
+            if released is not None:
+                self.front.core.client_left(released)
 
     def check(self, now: float) -> None:
         """Guards against clients that take or send nothing for ever."""
@@ -171,7 +173,7 @@
         elif not self.asked and now - self.opened_at > FIRST:
             close_resting(self)
         elif (
-            self.call is None
+            self.open_request is None
             and self.phase is Phase.SERVING
             and not self.gatherer.idle
             and now - self.active_at > HALF
@@ -189,15 +191,15 @@
         except HttpError as error:
             self._read_no_more(error)
         if len(self.waiting) > WAITING and self.phase is Phase.SERVING:
-            # What came first is still answered: to close now would lose a call that was taken.
+            # What came first is still answered: to close now would lose a request that was taken.
             while len(self.waiting) > WAITING:
                 self.waiting.pop()
             self._read_no_more(HttpError(503, "too many requests sent ahead"))
         self._hold(self.gatherer.size + self._waiting_bytes())
-        if self.front.held_bytes > self.front.most_bytes and self.call is None:
+        if self.front.held_bytes > self.front.most_bytes and self.open_request is None:
             # Guards the memory limit: many large requests at once are turned away, not buffered.
             self._refuse_input(HttpError(503, "too many bytes held"))
-        elif self.call is None:
+        elif self.open_request is None:
             self._next()
 
     def _read_no_more(self, error: HttpError) -> None:
@@ -209,21 +211,21 @@
     def _waiting_bytes(self) -> int:
         return sum(len(one.request.body) for one in self.waiting if isinstance(one, Received))
 
-    def _let_go(self) -> Call | None:
-        """The call is answered, or its client gone."""
-        call, self.call = self.call, None
-        if call is not None:
-            self.front.open_ids.discard(call.req_id)
-        return call
+    def _let_go(self) -> ClientRequest | None:
+        """The request is answered, or its client gone."""
+        released, self.open_request = self.open_request, None
+        if released is not None:
+            self.front.open_ids.discard(released.req_id)
+        return released
 
     def _hold(self, size: int) -> None:
-        size += len(self.call.body) if self.call is not None else 0
+        size += len(self.open_request.body) if self.open_request is not None else 0
         self.front.held_bytes += size - self.held
         self.held = size
 
     def _next(self) -> None:
-        """Answer what waits, up to the first call."""
-        while self.waiting and self.call is None and self.phase is not Phase.ENDING:
+        """Answer what waits, up to the first that goes to a replica."""
+        while self.waiting and self.open_request is None and self.phase is not Phase.ENDING:
             received = self.waiting.popleft()
             if isinstance(received, HttpError):
                 self._refuse_input(received)
@@ -244,9 +246,9 @@
         elif method == "GET":
             self.whole(request, *((200, "ready") if self.front.ready() else (503, "not ready")))
         else:
-            self._call(request, received.arrived)
+            self._submit(request, received.arrived)
 
-    def _call(self, request: Request, arrived: int) -> None:
+    def _submit(self, request: Request, arrived: int) -> None:
         head = request.head
         if self.guard is not None and not self.guard():
             # Read after a pause that outlasted the lease: another instance has the address by now.
@@ -260,9 +262,9 @@
         if fields.kind not in self.front.classes:
             raise HttpError(400, "unknown Req-Kind")
         if fields.req_id in self.front.open_ids:
-            # Sent on, a replica would take it for a second copy of another client's call.
+            # Sent on, a replica would take it for a second copy of another client's request.
             raise HttpError(409, "Req-Id is in use")
-        call = Call(
+        submitted = ClientRequest(
             sink=StreamedAnswer(self, request),
             request_class=self.front.classes[fields.kind],
             time_left=fields.deadline_ms * MS,
@@ -281,12 +283,12 @@
             client_retry=fields.retry,
             arrived=arrived,
         )
-        self.call = call
-        self.front.open_ids.add(call.req_id)
-        self.front.core.submit(call)
+        self.open_request = submitted
+        self.front.open_ids.add(submitted.req_id)
+        self.front.core.submit(submitted)
 
     def body_sent(self) -> None:
-        """The core needs the call's body no more."""
+        """The core needs the request's body no more."""
         self._hold(self.gatherer.size + self._waiting_bytes())
 
     def whole(
@@ -328,7 +330,7 @@
 
 
 class StreamedAnswer:
-    """The sink of a call that came over a client connection."""
+    """The sink of a request that came over a client connection."""
 
     def __init__(self, connection: ClientConnection, request: Request) -> None:
         self.connection = connection
--- a/lockspoke/wire/replicas.py
+++ b/lockspoke/wire/replicas.py
@@ -11,8 +11,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from hillridge.interface import Outcome, ReplicaState
-from lockspoke.memory.calls import Attempt, Clearance
 from lockspoke.memory.replica_set import Replica
+from lockspoke.memory.requests import Attempt, Clearance
 
 from .dialing import Dial, dial
 from .fields import decode_load
@@ -172,12 +172,14 @@
 
     async def _exchange(self, connection: Connection, attempt: Attempt) -> Answer:
         """Send the request and read the answer, passing its events on as they come."""
-        call = attempt.call
-        headers = dict(call.headers)
-        headers["Req-Id"] = call.req_id
+        request = attempt.request
+        headers = dict(request.headers)
+        headers["Req-Id"] = request.req_id
         headers["Req-Deadline-Ms"] = str(max(1, (attempt.deadline - self.now()) // MS))
         try:
-            await connection.stream.write(encode_request(call.method, call.target, headers, call.body))
+            await connection.stream.write(
+                encode_request(request.method, request.target, headers, request.body)
+            )
         except StreamClosedError:
             # Not all of it was written: a replica begins with the last byte, so it has not run. A fresh
             # try on a new connection is not ours to make: it would be an attempt nobody decided on.
--- a/tests/memory/test_batch_store.py
+++ b/tests/memory/test_batch_store.py
@@ -185,7 +185,7 @@
                 bench.serve(bench.out()[0])
         assert batch.status == "completed" and len(bench.world.started) == 5
         assert bench.results(batch) == {f"c{n}": "served" for n in range(5)}
-        sent = json.loads(bench.world.started[0].call.body or b"{}")
+        sent = json.loads(bench.world.started[0].request.body or b"{}")
         assert sent in ({}, LINE["body"] | {"stream": True, "stream_options": {"include_usage": True}})
 
     play(bench, test)
@@ -214,7 +214,7 @@
     async def test() -> None:
         batch = await bench.batch(*lines(1))
         await until(lambda: len(bench.out()) == 1)
-        call = bench.out()[0].call
+        call = bench.out()[0].request
         bench.world.core.transport.stop(bench.out()[0])
         bench.out()[0].outcome = Outcome.FULL
         call.answered = True
@@ -408,8 +408,8 @@
         for _ in range(6):
             await asyncio.sleep(0.06)
             for attempt in bench.out():
-                attempt.outcome, attempt.call.answered = Outcome.FULL, True
-                attempt.call.sink.refuse(60 * SECOND)
+                attempt.outcome, attempt.request.answered = Outcome.FULL, True
+                attempt.request.sink.refuse(60 * SECOND)
         assert bench.runner.waiting == 4 and len(bench.world.started) == 4
         await bench.store.set_status(batch, "cancelling")
         await until(lambda: batch.final)
--- a/tests/memory/test_core.py
+++ b/tests/memory/test_core.py
@@ -9,10 +9,10 @@
 import pytest
 
 from hillridge.interface import Effect, Outcome, ReplicaState, RequestClass, Scope
-from lockspoke.memory.calls import Attempt, Call, Clearance
 from lockspoke.memory.core import MS, OVERDUE, SECOND, SILENT, SWEEP, Core
 from lockspoke.memory.numbers import Numbers, key_number
 from lockspoke.memory.replica_set import UNKNOWN_VERSION, Entry, Replica, ReplicaSet, ReplicaUpdate
+from lockspoke.memory.requests import Attempt, Clearance, ClientRequest
 from tests.hillridge.helpers import settings
 
 
@@ -94,9 +94,9 @@
     def watch(self, enable: bool) -> None:
         self.watches.append(enable)
 
-    def call(self, seconds: float = 4, **fields: Any) -> tuple[Call, Sink]:
+    def call(self, seconds: float = 4, **fields: Any) -> tuple[ClientRequest, Sink]:
         sink = Sink()
-        call = Call(sink, 0, int(seconds * SECOND), "id", "POST", "/x", {}, b"{}", **fields)
+        call = ClientRequest(sink, 0, int(seconds * SECOND), "id", "POST", "/x", {}, b"{}", **fields)
         self.core.submit(call)
         return call, sink
 
@@ -118,7 +118,7 @@
     attempt.ended(Outcome.OK)
     attempt.ended(Outcome.RESET)  # said twice, only the first counts
     assert sink.got == [b"a", b"b", "end"]
-    assert not world.core.calls and call.answered
+    assert not world.core.requests and call.answered
     assert world.core.totals["served"] == 1
 
 
@@ -212,7 +212,7 @@
     assert world.started[0].outcome is Outcome.TIMEOUT
     assert "broken" not in streaming.got
     world.started[1].ended(Outcome.OK)
-    assert streaming.got[-1] == "end" and not world.core.calls
+    assert streaming.got[-1] == "end" and not world.core.requests
 
 
 def test_what_is_handed_over_can_be_asked_for_elsewhere() -> None:
@@ -222,7 +222,7 @@
     world.started[0].streamed(b"a")
     world.core.hand_over()
     assert [sink.got for _, sink in calls] == [[b"a", "broken"], ["refused"], ["refused"]]
-    assert not world.core.calls and len(world.stopped) == 3
+    assert not world.core.requests and len(world.stopped) == 3
     assert not world.core.balancer.requests
     world.core.hand_over()
     assert calls[0][1].got == [b"a", "broken"]
@@ -237,7 +237,7 @@
     world.core.hand_over([gone])
     assert first.got == [b"a", "broken"] and second.got == [b"a"] and len(world.stopped) == 1
     next(one for one in world.started if one not in world.stopped).ended(Outcome.OK)
-    assert second.got == [b"a", "end"] and not world.core.calls
+    assert second.got == [b"a", "end"] and not world.core.requests
 
 
 def test_without_workers_the_answer_is_an_overload_reply_at_once() -> None:
@@ -254,9 +254,9 @@
     attempt = world.started[0]
     attempt.streamed(b"a")
     world.pass_time(2 * SECOND)
-    assert sink.got == [] and attempt.outcome is None and world.core.calls
+    assert sink.got == [] and attempt.outcome is None and world.core.requests
     attempt.ended(Outcome.OK)
-    assert sink.got == [] and not world.core.calls
+    assert sink.got == [] and not world.core.requests
     assert world.core.totals["left"] == 1
 
 
@@ -264,31 +264,31 @@
     return RequestClass(effect=Effect.KEYED, scope=scope, window=window)
 
 
-def left(world: World, call: Call) -> None:
+def left(world: World, call: ClientRequest) -> None:
     world.core.client_left(call)
 
 
-def drained(world: World, call: Call) -> None:
+def drained(world: World, call: ClientRequest) -> None:
     uid = call.attempts[0].replica.uid
     world.core.list_changed(
         ReplicaUpdate(2, False, (Entry(uid, ReplicaState.DRAINING, ("127.0.0.1", 5000), "z"),))
     )
 
 
-def restarted(world: World, call: Call) -> None:
+def restarted(world: World, call: ClientRequest) -> None:
     uid, endpoint = call.attempts[0].replica.uid, call.attempts[0].replica.endpoint
     world.core.list_changed(
         ReplicaUpdate(2, False, (Entry(uid, ReplicaState.READY, endpoint, "z", boot_ms=10**6),))
     )
 
 
-def banned(world: World, call: Call) -> None:
+def banned(world: World, call: ClientRequest) -> None:
     assert world.core.ban(call.attempts[0].replica.uid, True)
 
 
 @pytest.mark.parametrize("happens", [left, drained, restarted, banned])
 def test_what_happens_while_a_connection_comes_up_is_heard_before_the_first_byte(
-    happens: Callable[[World, Call], None],
+    happens: Callable[[World, ClientRequest], None],
 ) -> None:
     """A request was written after its client had left, and to a worker that had been told to drain."""
     world = World()
@@ -301,7 +301,7 @@
     # The one whose client still waits goes elsewhere at once.
     others = [one.replica for one in world.started[1:]]
     assert len(others) == (happens is not left) and attempt.replica not in others
-    assert bool(world.core.calls) == (happens is not left)
+    assert bool(world.core.requests) == (happens is not left)
 
 
 def test_a_repeat_whose_window_ends_while_it_connects_is_not_sent() -> None:
@@ -391,7 +391,7 @@
     world.core.hand_over(at_once=False)
     assert stream.got == [b"a"]
     world.core.hand_over()
-    assert stream.got == [b"a", "broken"] and not world.core.calls
+    assert stream.got == [b"a", "broken"] and not world.core.requests
 
 
 def test_a_silent_stream_is_given_up_so_that_its_client_can_ask_for_the_rest() -> None:
@@ -433,7 +433,7 @@
     monkeypatch.setattr(world.core.balancer, "handle", broken)
     _, sink = world.call(seconds=1)
     world.pass_time(SECOND + OVERDUE + 2 * SWEEP)
-    assert sink.got == ["failed"] and not world.core.calls
+    assert sink.got == ["failed"] and not world.core.requests
 
 
 def test_a_fault_of_the_decisions_takes_back_nothing_that_was_decided(
@@ -558,7 +558,7 @@
 def test_numbers_are_the_same_everywhere_and_never_shared() -> None:
     numbers = Numbers()
     assert numbers.replica("s-1") == Numbers().replica("s-1") != numbers.replica("s-2")
-    assert numbers.call() != numbers.call()
+    assert numbers.request() != numbers.request()
     assert key_number("") == 0 != key_number("7f3a") < 1 << 64
     numbers._taken.add(Numbers().replica("s-3"))
     assert numbers.replica("s-3") != Numbers().replica("s-3")
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,10 +14,10 @@
 
 from hillridge.interface import ReplicaState, RequestClass, Settings
 from lockspoke.lifecycle.timers import LoopTimers
-from lockspoke.memory.calls import Discovery
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
 from lockspoke.memory.replica_set import Entry, ReplicaSet, ReplicaUpdate
+from lockspoke.memory.requests import Discovery
 from lockspoke.wire.clients import ClientFront
 from lockspoke.wire.replicas import ReplicaConnections
 from tests.hillridge.helpers import settings
--- a/tests/wire/drain_play.py
+++ b/tests/wire/drain_play.py
@@ -19,10 +19,10 @@
 from typing import Any
 
 from hillridge.interface import ReplicaState, RequestClass
-from lockspoke.memory.calls import Call
 from lockspoke.memory.core import Core
 from lockspoke.memory.numbers import Numbers
 from lockspoke.memory.replica_set import Entry, ReplicaSet, ReplicaUpdate
+from lockspoke.memory.requests import ClientRequest
 from lockspoke.wire.dialing import Endpoint
 from lockspoke.wire.discovery_link import GRACE as WATCH_GRACE
 from lockspoke.wire.http1 import Gatherer, Request
@@ -439,5 +439,5 @@
     def _ask(self) -> None:
         session = self.random.getrandbits(32)
         self.core.submit(
-            Call(Answer(), 0, 3 * SECOND, "id", "POST", "/x", {"host": "h"}, b"{}", session=session)
+            ClientRequest(Answer(), 0, 3 * SECOND, "id", "POST", "/x", {"host": "h"}, b"{}", session=session)
         )
--- a/tests/wire/test_clients.py
+++ b/tests/wire/test_clients.py
@@ -219,7 +219,7 @@
     async def test(pair: Pair) -> None:
         pair.send(call_bytes(1).replace(b"HTTP/1.1", b"HTTP/1.0").replace(b"Host: origin.svc\r\n", b""))
         await until(lambda: bool(pair.world.started))
-        assert pair.world.started[0].call.headers["host"] == "origin.svc"
+        assert pair.world.started[0].request.headers["host"] == "origin.svc"
         pair.world.started[0].streamed(EVENTS[0])
         pair.world.started[0].ended(Outcome.OK)
         answer = await pair.read(EVENTS[0])
@@ -237,7 +237,7 @@
         pair.connection.guard = lambda: ours
         pair.send(call_bytes(1))
         await until(lambda: pair.world.core.totals["calls"] == 1)
-        call = pair.connection.call
+        call = pair.connection.open_request
         assert call is not None
         call.sink.refuse(0)
         await pair.read(b"overloaded")
@@ -261,7 +261,7 @@
         for at, owner in enumerate(owners):
             pair.send(call_bytes(at + 1, **{"Req-Owner": owner}))
             await until(lambda at=at: len(pair.world.started) > at)  # type: ignore[misc]
-            told = pair.world.core.balancer.requests[pair.world.started[at].call.number].arrived
+            told = pair.world.core.balancer.requests[pair.world.started[at].request.number].arrived
             assert told.tenant == {"south": 1}.get(owner, 0)
             pair.world.started[at].streamed(b"data: x\n\n")
             pair.world.started[at].ended(Outcome.OK)
--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -88,7 +88,7 @@
         while accepting:
             number += 1
             client.send(call_bytes(number))
-            await until(lambda: bool(self.gateway.core.calls))
+            await until(lambda: bool(self.gateway.core.requests))
             await until(lambda: len(self.gateway.transport.exchanges) == 1)
             for done in [one for one in accepting if one.done()]:
                 lines[accepting.pop(done)] = done.result()
@@ -103,7 +103,7 @@
 
     def picked(self) -> tuple[str, Peer]:
         """The replica that the request was decided for."""
-        (call,) = self.gateway.core.calls.values()
+        (call,) = self.gateway.core.requests.values()
         uid = call.attempts[0].replica.uid
         return uid, self.first if uid == "w0" else self.second
 
--- a/tests/wire/test_keepalive.py
+++ b/tests/wire/test_keepalive.py
@@ -7,8 +7,8 @@
 import time
 
 from hillridge.interface import Outcome, ReplicaState
-from lockspoke.memory.calls import Attempt, Call, Clearance
 from lockspoke.memory.replica_set import Replica
+from lockspoke.memory.requests import Attempt, Clearance, ClientRequest
 from lockspoke.wire.clients import StreamedAnswer
 from lockspoke.wire.keepalive import BACK, SHORTEST, KeepAlive
 from lockspoke.wire.replicas import MS, SETTLE, ReplicaConnections
@@ -83,7 +83,7 @@
         connections = ReplicaConnections((), 5_000 * MS, 10_000 * MS, 8, time.time_ns)
 
         async def ask(target: str, worker: Replica) -> Outcome:
-            call = Call(StreamedAnswer.__new__(StreamedAnswer), 0, 0, "1", "POST", target, {}, b"")
+            call = ClientRequest(StreamedAnswer.__new__(StreamedAnswer), 0, 0, "1", "POST", target, {}, b"")
             now = time.time_ns()
             count = len(told.ends)
             connections.start(Attempt(call, 0, worker, now, now + 5_000 * MS, told))
--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -103,7 +103,7 @@
         # Most of it waits in the process.
         served(gateway).stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
         worker.send(HEAD + chunk(LONG) + chunk(b""))
-        await until(lambda: not gateway.core.calls)
+        await until(lambda: not gateway.core.requests)
         connection = served(gateway)
         assert connection.outbox.unsent and not connection.outbox.stalled(0, LINGER)
         connection.check(connection.active_at + 2 * LINGER)
@@ -118,8 +118,8 @@
     async def test(gateway: Gateway, peer: Peer) -> None:
         client, worker = await slow_stream(gateway, peer)
         worker.send(HEAD + chunk(LONG))
-        await until(lambda: served(gateway).call is not None and gateway.core.totals["attempts"] == 1)
-        (call,) = gateway.core.calls.values()
+        await until(lambda: served(gateway).open_request is not None and gateway.core.totals["attempts"] == 1)
+        (call,) = gateway.core.requests.values()
         await until(lambda: call.owner is not None and not served(gateway).outbox.unsent)
         client.send(call_bytes(2))
         call.attempts[0].ended(Outcome.OK)
@@ -226,7 +226,7 @@
         client = await gateway.client()
         client.send(call_bytes(1))
         await until(lambda: gateway.core.totals["attempts"] == 1)
-        (call,) = gateway.core.calls.values()
+        (call,) = gateway.core.requests.values()
         await happens(gateway, client)
         late = await peer.let_in()
         await until(lambda: call.attempts[0].outcome is not None)
@@ -254,7 +254,7 @@
     client.close()
     await until(lambda: gateway.core.totals["left"] == 1)
     worker.send(ANSWER)
-    await until(lambda: not gateway.core.calls)
+    await until(lambda: not gateway.core.requests)
 
 
 @pytest.mark.parametrize("waits", [after_a_full_worker, behind_another])
@@ -292,7 +292,7 @@
         assert gateway.core.totals["attempts"] == 2
         client.close()
         time.sleep(HELD)
-        await until(lambda: gateway.core.totals["left"] == 1 and not gateway.core.calls)
+        await until(lambda: gateway.core.totals["left"] == 1 and not gateway.core.requests)
         assert gateway.core.totals["outcome_moot"] == 1
         gateway.transport.close()
         assert await worker.rest() == b"", "nothing came on the connection that was kept"
