The loop that feeds the decisions is a module of its own beside the core

Core kept requests, attempts, the replica set's updates and the queue of events for the decisions. The queue, and what a fault of the decisions costs, is DecisionLoop in memory/decisions.py now; Core says what follows from a fault. Behaviour kept, no test changed.

--- a/lockspoke/memory/core.py
+++ b/lockspoke/memory/core.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
@@ -16,6 +16,7 @@
 from hillridge import Balancer
 from hillridge import interface as api
 
+from .decisions import DecisionLoop
 from .replica_set import UNKNOWN_VERSION, ReplicaSet, ReplicaUpdate
 from .requests import Attempt, Clearance, ClientRequest, Discovery, Stage, Transport
 
@@ -61,6 +62,8 @@
         discovery: Discovery,
     ) -> None:
         self.balancer = Balancer(settings, seed)
+        decisions = DecisionLoop(self.balancer, timers.now, self._carry_out, self._decisions_failed)
+        self._post = decisions.post
         self.replica_set = replica_set
         self.timers = timers
         self.transport = transport
@@ -68,8 +71,6 @@
         self.requests: dict[int, ClientRequest] = {}
         self.totals: Counter[str] = Counter()
         self.live_refused_at = 0  # when a request that somebody waits for was last turned away
-        self._events: deque[api.Event] = deque()
-        self._busy = False
         self._asks = settings.ask_for_list
 
     def start(self) -> None:
@@ -293,33 +294,11 @@
 
     # The decisions
 
-    def _post(self, event: api.Event) -> None:
-        """Hand an event to the decisions. Carrying out an action may post more: they wait their turn."""
-        self._events.append(event)
-        if self._busy:
-            return
-        self._busy = True
-        try:
-            while self._events:
-                self._decide(self._events.popleft())
-        finally:
-            self._busy = False
-
-    def _decide(self, event: api.Event) -> None:
-        """Have one event decided on: a fault costs what would have followed from it, and no other event."""
-        try:
-            actions = self.balancer.handle(self.timers.now(), [event])
-        except Exception:
-            # The program must outlive a fault of the decisions; the sweep answers what they leave open.
-            log.exception("decisions_failed", given=type(event).__name__)
-            self.totals["decisions_failed"] += 1
-            if isinstance(event, api.ListUpdate):
-                # They may know a part of it only: the whole list is asked for next.
-                self.replica_set.rev = UNKNOWN_VERSION
-            # What was decided before the fault is counted as done by then, and so it has to be.
-            actions = self.balancer.out
-        for action in actions:
-            self._carry_out(action)
+    def _decisions_failed(self, event: api.Event) -> None:
+        self.totals["decisions_failed"] += 1
+        if isinstance(event, api.ListUpdate):
+            # They may know a part of it only: the whole list is asked for next.
+            self.replica_set.rev = UNKNOWN_VERSION
 
     def _carry_out(self, action: api.Action) -> None:
         match action:
