--- a/tests/wire/drain_play.py
+++ b/tests/wire/drain_play.py
@@ -437,7 +437,7 @@
             (self.judge.banned.add if banned else self.judge.banned.discard)(uid)
 
     def _ask(self) -> None:
-        session = self.random.getrandbits(32)
-        self.core.submit(
-            ClientRequest(Answer(), 0, 3 * SECOND, "id", "POST", "/x", {"host": "h"}, b"{}", session=session)
-        )
+        request = ClientRequest(Answer(), 0, 3 * SECOND, "id", "POST", "/x", {"host": "h"}, b"{}")
+        request.session = self.random.getrandbits(32)
+        request.background = self.random.random() < 0.1  # a line of a batch
+        self.core.submit(request)
