A discovery service that is left behind with an answer in hand waits for no other

If SIGHUP moved discovery again while one waited there, it was among those left behind and waited for itself; the loop span, and since its change counted as unread, no attempt was cleared.

Change: it waits only while it is the one in use. The end of a follower is told to the watch directly, not by a callback.

Test: fails without the change.

--- a/lockspoke/wire/watch.py
+++ b/lockspoke/wire/watch.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import replace
 
 import structlog
@@ -62,7 +61,7 @@
             self.close()
         elif self._current is None:
             link = DiscoveryLink(self.endpoint, self._dial)
-            self._current = Follower(link, self, self._is_over)
+            self._current = Follower(link, self)
 
     def move(self, endpoint: Endpoint) -> None:
         """Watch at another address from now on: at once, since the old one may close any moment.
@@ -88,14 +87,16 @@
     # What followers say
 
     async def settle_former(self, follower: Follower) -> None:
-        """Before the service in use has its first word: those left behind have had their last one."""
-        if follower is not self._current:
-            return
-        while any(former.unread for former in self._former):
+        """Before the service in use has its first word: those left behind have had their last one.
+
+        One that is left behind itself meanwhile waits for no other.
+        """
+        while follower is self._current and any(former.unread for former in self._former):
             await asyncio.sleep(0)
-        for former in self._former:
-            former.close()
-        self._former = []
+        if follower is self._current:
+            for former in self._former:
+                former.close()
+            self._former = []
 
     def take(self, follower: Follower, answer: ListAnswer) -> None:
         """An answer takes effect; raises ListError if it could not be read as a whole."""
@@ -113,7 +114,7 @@
         core.list_changed(update, answers=follower is self._current)
         answer.complete()
 
-    def _is_over(self, follower: Follower, reason: str | None) -> None:
+    def end(self, follower: Follower, reason: str | None) -> None:
         """A follower has ended; with a reason, it failed: the decisions say when to ask again."""
         if follower is not self._current:
             self._former = [one for one in self._former if one is not follower]
@@ -134,12 +135,9 @@
 class Follower:
     """Follows the list of one service until a request fails, or to its present answer if it is retired."""
 
-    def __init__(
-        self, link: DiscoveryLink, watch: DiscoveryWatch, is_over: Callable[[Follower, str | None], None]
-    ) -> None:
+    def __init__(self, link: DiscoveryLink, watch: DiscoveryWatch) -> None:
         self._link = link
         self._watch = watch
-        self._is_over = is_over
         self._retired = False
         self._empty_before = False  # whether the last answer was a whole list with nobody in it
         self._taking = False  # an answer has been read, and is not in force yet
@@ -175,13 +173,11 @@
             self._replicas.rev = UNKNOWN_VERSION
             reason = "a fault of the gateway; see watch_failed"
         self._link.close()
-        self._is_over(self, reason)
+        self._watch.end(self, reason)
 
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
-        may_wait = (
-            False  # only after an answer in order: how discovery is, a request that doesn't wait shows sooner
-        )
+        may_wait = False  # only after an answer in order: one that does not wait shows trouble sooner
         while not self._retired:
             request = ListRequest(self._replicas.rev, self._watch.hold_ms if may_wait else 0)
             asked_at = loop.time()
--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -310,3 +310,29 @@
         assert b"from=" not in await asking.read(b"\r\n\r\n")
 
     play(test, asks=True)
+
+
+class Unfinished:
+    """A former service whose last word is on its way for as long as the test pleases."""
+
+    unread = True
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+def test_a_service_left_behind_with_an_answer_in_hand_waits_for_no_other() -> None:
+    """Moved twice at once, it waited for its own answer to be taken: no request was sent any more."""
+
+    async def test(scene: Scene) -> None:
+        line, former, new = await scene.watching(), Unfinished(), Peer()
+        scene.watch._former.append(former)  # type: ignore[arg-type]
+        line.send(scene.drain_of_the_first)
+        await until(lambda: scene.watch._current is not None and scene.watch._current._taking)
+        scene.watch.move(new.endpoint)
+        await until(lambda: scene.state("w0") is ReplicaState.DRAINING)
+        former.unread = False
+        await until(lambda: not scene.watch.changes_unread)
+        assert b"from=" not in await (await new.accept()).read(b"\r\n\r\n")
+
+    play(test)
