Test: the status that is looked at is the restarted program's, not the first one's

The first one's file is removed before the restart, so the wait is for the second's; what is asserted of it stays.

--- a/tests/inventory/test_source.py
+++ b/tests/inventory/test_source.py
@@ -269,6 +269,7 @@
         async with Program(options=options) as program:
             await until(lambda: (keep / "inventory.last").exists())
             assert await program.terminate() == 0
+        (keep / "inventory.status.json").unlink(missing_ok=True)  # the first program's word, not the second's
         place(path, 'name,host,port\n"w0,127')
         async with Program(options=options) as program, Client(program.port) as client:
             assert program.log("inventory_kept_used", workers=2) is not None
