Tests: the way to a kept connection stands once in test_races.py

Two tests, on late bytes and on a client's unread close, went the same eight lines to a replica's connection that is ready to be used again; they share with_a_kept_connection now, assertions untouched.

--- a/tests/wire/test_races.py
+++ b/tests/wire/test_races.py
@@ -150,17 +150,23 @@
     play(test)
 
 
+async def with_a_kept_connection(gateway: Gateway, peer: Peer) -> tuple[Line, Line]:
+    """A client that has its first answer, and the connection to the replica, ready to be used again."""
+    client = await gateway.client()
+    client.send(call_bytes(1))
+    replica = await peer.accept()
+    await replica.read(b"{}")
+    replica.send(ANSWER)
+    await client.read(chunk(b""))
+    (idle,) = gateway.transport.idle[next(iter(gateway.replica_set.replicas))]
+    await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + replica_side.SETTLE)
+    return client, replica
+
+
 @pytest.mark.parametrize("late", [ANSWER, b"HTTP/1.1 2", b""], ids=["answer", "half a line", "end"])
 def test_what_a_worker_sends_behind_its_answer_never_meets_the_next_request(late: bytes) -> None:
     async def test(gateway: Gateway, peer: Peer) -> None:
-        client = await gateway.client()
-        client.send(call_bytes(1))
-        first = await peer.accept()
-        await first.read(b"{}")
-        first.send(ANSWER)
-        await client.read(chunk(b""))
-        (idle,) = gateway.transport.idle[next(iter(gateway.replica_set.replicas))]
-        await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + replica_side.SETTLE)
+        client, first = await with_a_kept_connection(gateway, peer)
         client.send(call_bytes(2))
         # Taken from the client without the loop's looking at the worker's connection.
         taken = served(gateway)
@@ -278,14 +284,7 @@
     """It had left for longer than 0.1 s, and its request was written: the loop had not heard of the close."""
 
     async def test(gateway: Gateway, peer: Peer) -> None:
-        client = await gateway.client()
-        client.send(call_bytes(1))
-        worker = await peer.accept()
-        await worker.read(b"{}")
-        worker.send(ANSWER)
-        await client.read(chunk(b""))
-        (idle,) = gateway.transport.idle[next(iter(gateway.replica_set.replicas))]
-        await until(lambda: asyncio.get_running_loop().time() > idle.idle_since + replica_side.SETTLE)
+        client, worker = await with_a_kept_connection(gateway, peer)
         client.send(call_bytes(2) + (call_bytes(3) if pipelined else b""))
         taken = served(gateway)
         taken._take(taken.stream.socket.recv(65536))
