--- /dev/null
+++ b/tests/batch/gateway_probes.py
@@ -0,0 +1,173 @@
+"""Probes that show whether a gateway still serves everybody else while its batch front is busy.
+
+Each probe keeps one connection and records the longest delay that its client saw. The bounds are the stated
+aims: an event of a stream is forwarded within 0.3 s of its replica writing it, and an operator's call and
+`GET /up` are answered within a second.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+
+from lockspoke.wire.http.messages import BodyChunk, MessageEnd, Request
+from lockspoke.wire.http.response_parser import ResponseParser
+from tests.standins import STREAM_HEAD, STREAM_TAIL, Client, FakeReplica, Program, chunk, request_bytes, until
+
+MAX_EVENT_DELAY = 0.3  # seconds from a replica's write to the client's read
+MAX_ANSWER_DELAY = 1.0  # seconds for `GET /up` and for an operator's call
+# Seconds after which a probe gives up: the gateway does not answer at all.
+PROBE_TIMEOUT = 8.0
+# Delay of the probing process's own loop above which its measurements say nothing about the gateway.
+MAX_OWN_DELAY = 0.1
+UP_INTERVAL = 0.02
+OPERATOR_INTERVAL = 0.1
+EVENT_INTERVAL = 0.02
+EVENTS_PER_STREAM = 25
+
+UP = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
+READY = b"GET /control/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class TimestampReplica(FakeReplica):
+    """Answers lines of batches at once, and streams to interactive requests the time of each write."""
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if request.head.headers.get("req-kind") != "docs":
+            await super().answer(request, writer)
+            return
+        writer.write(STREAM_HEAD)
+        for _ in range(EVENTS_PER_STREAM):
+            written_at = json.dumps({"choices": [{"index": 0, "delta": {"content": repr(time.monotonic())}}]})
+            writer.write(chunk(b"data: " + written_at.encode() + b"\n\n"))
+            await asyncio.sleep(EVENT_INTERVAL)
+            if writer.is_closing():
+                return
+        writer.write(chunk(STREAM_TAIL) + chunk(b""))
+        await writer.drain()
+
+
+@dataclass
+class Measurements:
+    """What the probes have seen, in seconds."""
+
+    up_delays: list[float] = field(default_factory=list)
+    operator_delays: list[float] = field(default_factory=list)
+    event_delays: list[float] = field(default_factory=list)
+    own_delays: list[float] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+
+    def is_void(self) -> bool:
+        """Whether the probing process itself was too late for its measurements to count."""
+        return max(self.own_delays, default=0.0) > MAX_OWN_DELAY
+
+    def violations(self) -> list[str]:
+        """The aims that were missed, each with what was measured."""
+        found = list(self.faults)
+        for name, delays, bound in (
+            ("GET /up", self.up_delays, MAX_ANSWER_DELAY),
+            ("an operator's call", self.operator_delays, MAX_ANSWER_DELAY),
+            ("an event of an interactive stream", self.event_delays, MAX_EVENT_DELAY),
+        ):
+            if not delays:
+                found.append(f"{name} was never answered")
+            elif max(delays) > bound:
+                found.append(f"{name} took {max(delays):.2f} s, {bound} s at most")
+        return found
+
+    def summary(self) -> str:
+        """The longest delays in milliseconds, as one line."""
+        named = {
+            "up": self.up_delays,
+            "operator": self.operator_delays,
+            "event": self.event_delays,
+            "own": self.own_delays,
+        }
+        longest = {name: round(max(delays, default=-1.0) * 1000) for name, delays in named.items()}
+        return ", ".join(f"{name} {delay} ms" for name, delay in longest.items())
+
+
+class GatewayProbes:
+    """Asks a running gateway for what must not wait for batches."""
+
+    def __init__(self, program: Program) -> None:
+        self._program = program
+        self._numbers = itertools.count(1)
+        self.measurements = Measurements()
+
+    @asynccontextmanager
+    async def running(self) -> AsyncIterator[Measurements]:
+        """Probe until the block ends."""
+        await until(lambda: self._program.log("operators_listening") is not None)
+        probes = (self._probe_up, self._probe_operator, self._probe_stream, self._measure_own_delay)
+        tasks = [asyncio.ensure_future(self._repeat(probe)) for probe in probes]
+        try:
+            yield self.measurements
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _repeat(self, probe: Callable[[], Awaitable[None]]) -> None:
+        try:
+            await probe()
+        except TimeoutError:
+            self.measurements.faults.append(f"{probe.__name__}: no answer within {PROBE_TIMEOUT} s")
+        except OSError as error:
+            self.measurements.faults.append(f"{probe.__name__}: {error!r}")
+
+    async def _probe_up(self) -> None:
+        await self._ask_repeatedly(self._program.port, UP, UP_INTERVAL, self.measurements.up_delays)
+
+    async def _probe_operator(self) -> None:
+        port = self._program.log("operators_listening")["port"]  # type: ignore[index]  # awaited by `running`
+        await self._ask_repeatedly(port, READY, OPERATOR_INTERVAL, self.measurements.operator_delays)
+
+    async def _ask_repeatedly(self, port: int, raw: bytes, interval: float, delays: list[float]) -> None:
+        async with Client(port) as client:
+            while True:
+                asked_at = time.monotonic()
+                client.writer.write(raw)
+                status, _, _, complete = await asyncio.wait_for(client.read_response(), PROBE_TIMEOUT)
+                delays.append(time.monotonic() - asked_at)
+                if status != 200 or not complete:
+                    self.measurements.faults.append(f"status {status}, complete: {complete}")
+                await asyncio.sleep(interval)
+
+    async def _probe_stream(self) -> None:
+        async with Client(self._program.port) as client:
+            while True:
+                client.writer.write(request_bytes(next(self._numbers), probe="1"))
+                await self._read_stream(client)
+
+    async def _read_stream(self, client: Client) -> None:
+        parser = ResponseParser()
+        while True:
+            data = await asyncio.wait_for(client.reader.read(65536), PROBE_TIMEOUT)
+            read_at = time.monotonic()
+            if not data:
+                self.measurements.faults.append("an interactive stream broke off")
+                raise ConnectionResetError
+            for piece in parser.feed(data):
+                if isinstance(piece, BodyChunk):
+                    self._record_events(piece.data, read_at)
+                elif isinstance(piece, MessageEnd):
+                    return
+
+    def _record_events(self, data: bytes, read_at: float) -> None:
+        for line in data.splitlines():
+            with suppress(ValueError, KeyError, IndexError):
+                event = json.loads(line.removeprefix(b"data: "))
+                written_at = float(event["choices"][0]["delta"]["content"])
+                self.measurements.event_delays.append(read_at - written_at)
+
+    async def _measure_own_delay(self) -> None:
+        while True:
+            started_at = time.monotonic()
+            await asyncio.sleep(UP_INTERVAL)
+            self.measurements.own_delays.append(time.monotonic() - started_at - UP_INTERVAL)
