--- a/lockspoke/batch/batch_run.py
+++ b/lockspoke/batch/batch_run.py
@@ -42,6 +42,10 @@
             return batch_deadline
         return min(batch_deadline, self.batch.created_at + own / MILLISECONDS_PER_SECOND)
 
+    def take_next_to_start(self) -> int | None:
+        """The next line to attempt; None once there is none any more: a cancelled batch starts no line."""
+        return None if self.batch.is_cancelling else self.take_next()
+
     def take_next(self) -> int | None:
         """The next line that is open and not active, in the order of the file."""
         while not self.all_taken:
--- a/lockspoke/batch/scheduler.py
+++ b/lockspoke/batch/scheduler.py
@@ -36,12 +36,16 @@
         self.slots = slots
         self.tasks = tasks
         self.now = now
-        self.runs: deque[BatchRun] = deque()
+        self.runs: list[BatchRun] = []
+        # Runs that may still start a line, in the order of their turns. A run leaves it for good when it has
+        # no line to start any more, so that a pass over it ends.
+        self._startable: deque[BatchRun] = deque()
         self.ending = 0  # lines that are being ended without an attempt
 
     def add(self, run: BatchRun) -> None:
         """Schedule the lines of a batch; its `drained` event is set once all have ended."""
         self.runs.append(run)
+        self._startable.append(run)
         self.slots.changed.set()
 
     async def run(self) -> None:
@@ -58,16 +62,16 @@
                     await self.slots.changed.wait()
 
     def _start_lines(self) -> None:
-        while self.runs and not self.slots.backlog_full and self.slots.available():
-            run = self.runs[0]
-            self.runs.rotate(-1)  # round robin: a long batch does not hold up a short one
-            line = None if run.batch.is_cancelling else run.take_next()
-            if line is not None:
-                run.active.add(line)
-                self.slots.acquire()
-                self.tasks.spawn(self.runner.run(run, line))
-            elif all(other.all_taken for other in self.runs):
-                break
+        """Start lines while slots are available; each turn takes a slot or removes a run."""
+        while self._startable and not self.slots.backlog_full and self.slots.available():
+            run = self._startable.popleft()
+            line = run.take_next_to_start()
+            if line is None:
+                continue
+            run.active.add(line)
+            self.slots.acquire()
+            self.tasks.spawn(self.runner.run(run, line))
+            self._startable.append(run)  # round robin: a long batch does not hold up a short one
 
     def _remove_drained(self) -> None:
         for run in list(self.runs):
