Cancellations that meet another change of a batch's status are kept

Symptom: a cancellation during validation was answered 'cancelling' and the batch ran on; one that met a failed validation left the batch cancelling until a restart; one that met the end of the last line gave 'completed'. Cause: statuses were decided by one that a write still on its way to the disk was about to replace. Change: BatchStore.status_lock is held from the decision to the end of its write, at all four places that decide.

--- a/lockspoke/batch/batch_handlers.py
+++ b/lockspoke/batch/batch_handlers.py
@@ -64,12 +64,13 @@
     async def cancel(self, request: ApiRequest) -> JsonResponse:
         """`POST /v1/batches/{id}/cancel`."""
         batch = self._find(request.object_id)
-        if batch.status in (BatchStatus.VALIDATING, BatchStatus.IN_PROGRESS):
-            await self.store.set_status(batch, BatchStatus.CANCELLING)
-            self.runner.notify()
-        elif batch.status not in (BatchStatus.CANCELLING, BatchStatus.CANCELLED):
-            message = f"Cannot cancel a batch with status '{batch.status}'."
-            raise ApiError(409, message, "id", "batch_not_cancellable")
+        async with self.store.status_lock:
+            if batch.status in (BatchStatus.VALIDATING, BatchStatus.IN_PROGRESS):
+                await self.store.set_status(batch, BatchStatus.CANCELLING)
+                self.runner.notify()
+            elif batch.status not in (BatchStatus.CANCELLING, BatchStatus.CANCELLED):
+                message = f"Cannot cancel a batch with status '{batch.status}'."
+                raise ApiError(409, message, "id", "batch_not_cancellable")
         return JsonResponse(batch_object(batch))
 
     def _find(self, batch_id: str) -> Batch:
--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -98,23 +98,34 @@
         await self._finish(batch)
 
     async def _fail(self, batch: Batch, error: InvalidInputFileError) -> None:
-        if batch.is_cancelling:
-            await retry_until_stored(lambda: self.store.set_status(batch, BatchStatus.CANCELLED))
-        else:
-            await retry_until_stored(
-                lambda: self.store.set_status(batch, BatchStatus.FAILED, errors=error.errors)
-            )
+        async def store_failure() -> None:
+            async with self.store.status_lock:
+                if batch.is_cancelling:
+                    await self.store.set_status(batch, BatchStatus.CANCELLED)
+                else:
+                    await self.store.set_status(batch, BatchStatus.FAILED, errors=error.errors)
+
+        await retry_until_stored(store_failure)
         log.info("batch_failed", batch=batch.id, invalid_lines=len(error.errors))
 
     async def _set_in_progress(self, batch: Batch, index: InputIndex) -> None:
-        # A client may have cancelled the batch during validation; its lines then end as cancelled.
-        status = BatchStatus.CANCELLING if batch.is_cancelling else BatchStatus.IN_PROGRESS
-        await retry_until_stored(lambda: self.store.set_status(batch, status, total=len(index.offsets)))
+        async def store_total() -> None:
+            async with self.store.status_lock:
+                # A client may have cancelled the batch during validation; its lines then end as cancelled.
+                status = BatchStatus.CANCELLING if batch.is_cancelling else BatchStatus.IN_PROGRESS
+                await self.store.set_status(batch, status, total=len(index.offsets))
+
+        await retry_until_stored(store_total)
 
     async def _finish(self, batch: Batch) -> None:
+        async def store_finalizing() -> None:
+            async with self.store.status_lock:
+                if batch.status is BatchStatus.IN_PROGRESS:
+                    await self.store.set_status(batch, BatchStatus.FINALIZING)
+
+        await retry_until_stored(store_finalizing)
+        # From here on a cancellation is refused, or has been accepted already.
         status = self._final_status(batch)
-        if batch.status is BatchStatus.IN_PROGRESS:
-            await retry_until_stored(lambda: self.store.set_status(batch, BatchStatus.FINALIZING))
         await retry_until_stored(lambda: self.store.finish(batch, status, encode_result))
         counts = {line_status.name.lower(): count for line_status, count in batch.line_counts.items()}
         log.info("batch_finished", batch=batch.id, status=status, **counts)
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -43,6 +43,9 @@
         self.batches = self._tables.batches
         self.creations = self._tables.creations
         self.creation_lock = asyncio.Lock()  # two requests with one idempotency key must not both create
+        # Held from a decision that depends on a batch's status to the end of the write that follows from it.
+        # A status is applied once it is on disk; until then another decision would be made by the old one.
+        self.status_lock = asyncio.Lock()
         self._lines_ending: set[tuple[str, int]] = set()  # batch ID and line of results being written
         self.journal = Journal(folder / "journal.log", self.executor)
         for offset, record in self.journal.load():
@@ -53,6 +56,10 @@
         pending = [upload for upload in self.uploads.values() if upload.status is UploadStatus.PENDING]
         return {part for upload in pending for part in upload.parts}
 
+    async def wait_until_idle(self) -> None:
+        """Wait until the store's thread has done what it was given so far; `close` blocks for the rest."""
+        await asyncio.get_running_loop().run_in_executor(self.executor, lambda: None)
+
     def close(self) -> None:
         """Close the journal; everything appended is on disk already."""
         self.executor.shutdown()
