A stop no longer waits for the batch store in the event loop

Symptom: while a result file was written at SIGTERM, interactive streams stood still. Cause: BatchStore.close joins the store's thread; the drain called it in the event loop. Change: the drain waits for the thread without blocking first (wait_until_idle). Measured: tests/batch/test_stop.py: the loop stood still for 0.587 s with the store busy for 0.6 s; below 0.3 s now (3 of 3).

--- a/lockspoke/batch/subsystem.py
+++ b/lockspoke/batch/subsystem.py
@@ -42,6 +42,15 @@
     return gateway.classes[settings.kind]
 
 
+async def stop_batches(front: BatchFront, runner: BatchRunner, store: BatchStore) -> None:
+    """Start no more lines, store the results of those in flight, and close front and store."""
+    front.start_draining()
+    await runner.stop()
+    front.close()
+    await store.wait_until_idle()  # interactive requests go on meanwhile
+    store.close()
+
+
 class BatchSubsystem:
     """Store, runner and front of the batch API."""
 
@@ -125,11 +134,8 @@
 
     async def drain(self) -> None:
         """Start no more lines, store the results of those in flight, and close everything."""
-        self.front.start_draining()
         self._expiry.cancel()
-        await self.runner.stop()
-        self.front.close()
-        self.store.close()
+        await stop_batches(self.front, self.runner, self.store)
 
     def stop(self) -> None:
         """Do nothing: the drain has closed everything."""
