Probes of the batch tests end when they are cancelled

The gateway had finished all five batches and answered /up in 1 ms. Change: the probes use asyncio.timeout. Measured: found by a stack of the hanging process; the program itself uses wait_for nowhere (searched).

--- a/tests/batch/gateway_probes.py
+++ b/tests/batch/gateway_probes.py
@@ -137,7 +137,9 @@
     async def _ask(self, client: Client, raw: bytes, delays: list[float]) -> None:
         asked_at = time.monotonic()
         client.writer.write(raw)
-        status, _, _, complete = await asyncio.wait_for(client.read_response(), PROBE_TIMEOUT)
+        # Not `wait_for`: before Python 3.12 it may swallow the cancellation that ends the probe.
+        async with asyncio.timeout(PROBE_TIMEOUT):
+            status, _, _, complete = await client.read_response()
         delays.append(time.monotonic() - asked_at)
         if status != 200 or not complete:
             self.measurements.faults.append(f"{raw.split()[1].decode()}: {status}, complete: {complete}")
@@ -151,7 +153,8 @@
     async def _read_stream(self, client: Client) -> None:
         parser = ResponseParser()
         while True:
-            data = await asyncio.wait_for(client.reader.read(65536), PROBE_TIMEOUT)
+            async with asyncio.timeout(PROBE_TIMEOUT):
+                data = await client.reader.read(65536)
             read_at = time.monotonic()
             if not data:
                 self.measurements.faults.append("an interactive stream broke off")
