Log lines for late drains: delayed polls, the loop's lateness, last attempts

Change: discovery_request_delayed (over 0.2 s from an answer to the next request, the protocol's bound of a watch), event_loop_late and loop_late_ms in totals, replicas_left_service with the age of the last attempt. The first two are limited to a line a second. The golden test of the log leaves out what a busy machine decides.

--- a/lockspoke/core/attempt_lifecycle.py
+++ b/lockspoke/core/attempt_lifecycle.py
@@ -98,6 +98,7 @@
         if self._discovery.has_unread_changes or attempt.request.response.has_unread_input:
             return SendPermission.CHECK_AGAIN
         attempt.stage = AttemptStage.SENT
+        attempt.replica.last_attempt_at = self._clock.now()
         return SendPermission.GRANTED
 
     def _send_is_obsolete(self, attempt: Attempt) -> bool:
--- a/lockspoke/core/core.py
+++ b/lockspoke/core/core.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Iterable, Sequence
 
+import structlog
+
 from lockspoke.balancing import Balancer
 from lockspoke.balancing.events import (
     ClientDisconnected,
@@ -18,17 +20,19 @@
     RequestArrived,
 )
 from lockspoke.balancing.settings import BalancerSettings
-from lockspoke.units import SECOND
+from lockspoke.units import MILLISECOND, SECOND
 
 from .actions import ActionExecutor
 from .interfaces import Clock, Discovery
-from .replica_set import ReplicaListUpdate, ReplicaSet, ReplicaSetChange
+from .replica_set import Replica, ReplicaListUpdate, ReplicaSet, ReplicaSetChange
 from .request_lifecycle import RequestLifecycle
 from .requests import Attempt, ClientRequest
 from .stream_supervision import StreamSupervision
 from .totals import RequestOutcome, Totals
 from .transport import Transport
 
+log = structlog.get_logger()
+
 WATCH_RETRY_DELAY = SECOND  # after a failed poll, where the balancer does not schedule the polls
 
 
@@ -194,8 +198,20 @@
     def _apply(self, change: ReplicaSetChange) -> None:
         for replica in change.connections_to_close:
             self.transport.close_idle_connections(replica)
+        self._log_last_attempt(change.connections_to_close)
         self._post(change.event)
 
+    def _log_last_attempt(self, changed: Iterable[Replica]) -> None:
+        """Log when replicas that are out of use from now on last got an attempt: a late drain shows in it."""
+        last = [
+            replica.last_attempt_at
+            for replica in changed
+            if replica.last_attempt_at and not self.replica_set.accepts_requests(replica)
+        ]
+        if last:
+            elapsed_ms = (self.clock.now() - max(last)) // MILLISECOND
+            log.info("replicas_left_service", replicas=len(last), last_attempt_ms_ago=elapsed_ms)
+
     def endpoint_list_failed(self) -> None:
         """Record that a poll of the endpoint list has failed; the last list stays in force."""
         self.totals.endpoint_list_polls_failed += 1
--- a/lockspoke/core/replica_set.py
+++ b/lockspoke/core/replica_set.py
@@ -60,6 +60,7 @@
     endpoint: tuple[str, int] | None
     state: ReplicaState
     boot_ms: int
+    last_attempt_at: int = 0  # when the first byte of an attempt was last sent, by the core's clock; 0: never
 
     @property
     def incarnation(self) -> Incarnation:
--- a/lockspoke/lifecycle/periodic_checks.py
+++ b/lockspoke/lifecycle/periodic_checks.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 
 import structlog
 
 from .composition import Gateway
 from .graceful_shutdown import IDLE_TIME
+from .loop_lateness import LoopLateness
 from .memory import return_free_memory
 from .phases import ProgramPhase
 
@@ -30,15 +30,16 @@
         """Check until cancelled."""
         state = self._gateway.state
         totals_logged_at = time.monotonic()
+        lateness = LoopLateness()
         while True:
             self._check_readiness()
             self._check_connections()
             if time.monotonic() - totals_logged_at >= TOTALS_INTERVAL:
                 totals_logged_at = time.monotonic()
-                log_totals(self._gateway)
+                log_totals(self._gateway, lateness)
                 return_free_memory()
             starting = state.phase is ProgramPhase.STARTING
-            await asyncio.sleep(STARTING_CHECK_INTERVAL if starting else CHECK_INTERVAL)
+            await lateness.sleep(STARTING_CHECK_INTERVAL if starting else CHECK_INTERVAL)
 
     def _check_readiness(self) -> None:
         gateway = self._gateway
@@ -58,8 +59,8 @@
             subsystem.run_periodic_checks()
 
 
-def log_totals(gateway: Gateway) -> None:
-    """Log what is open now and the counters since the start."""
+def log_totals(gateway: Gateway, lateness: LoopLateness | None = None) -> None:
+    """Log what is open now, the counters since the start, and how late the event loop was."""
     log.info(
         "totals",
         open_requests=len(gateway.core.requests),
@@ -67,4 +68,5 @@
         replica_connections=gateway.transport.open_connections,
         malformed_responses=gateway.transport.malformed_responses,
         **gateway.core.totals.log_fields(),
+        **({} if lateness is None else lateness.take_log_fields()),
     )
--- a/lockspoke/wire/discovery/connection.py
+++ b/lockspoke/wire/discovery/connection.py
@@ -6,6 +6,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from lockspoke.rate_limited_log import RateLimitedLog
 from lockspoke.wire.http.encoding import encode_request
 from lockspoke.wire.http.messages import HttpError
 from lockspoke.wire.tcp.dialing import Address, Dial
@@ -17,6 +18,9 @@
 # Seconds for a request that is no watch, connecting included; and for a response once it has started.
 RESPONSE_TIMEOUT = 1.5
 CONNECT_TIMEOUT = 1.0  # seconds
+# Seconds after a response within which the next request continues the watch (the platform's protocol). What
+# changes in between counts as notified at once, though discovery has not been asked for it yet.
+WATCH_CONTINUATION = 0.2
 
 
 class RequestError(Exception):
@@ -35,6 +39,8 @@
         self._dial = dial
         self._connection: ReadAhead | None = None
         self.awaiting_response = False  # whether a request is written and its response is not complete
+        self._responded_at: float | None = None  # when the last response was complete, by the loop's clock
+        self._delay_log = RateLimitedLog("discovery_request_delayed")
 
     @property
     def has_unread_data(self) -> bool:
@@ -72,17 +78,28 @@
     async def _exchange(self, request: EndpointListRequest) -> bytes:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + RESPONSE_TIMEOUT
+        reused = self._connection is not None
         if self._connection is None:
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 self._connection = ReadAhead(await self._dial(self.endpoint))
         if request.is_watch:
             # Without the time to connect: discovery's hold begins when it receives the request.
             deadline = loop.time() + request.hold_ms / 1000 + WATCH_GRACE
+        self._log_delay(loop.time(), reused)
         self.awaiting_response = True
         host = "{}:{}".format(*self.endpoint)
         self._connection.stream.write(encode_request("GET", request.target, {"Host": host}))
         return await self._read_response(self._connection, deadline)
 
+    def _log_delay(self, now: float, reused: bool) -> None:
+        """Log that a request is written so late after the last response that the watch was interrupted."""
+        if self._responded_at is None:
+            return
+        delay = now - self._responded_at
+        self._responded_at = None
+        if delay > WATCH_CONTINUATION:
+            self._delay_log.info(now, delay_ms=round(delay * 1000), connection_reused=reused)
+
     async def _read_response(self, connection: ReadAhead, deadline: float) -> bytes:
         """Read a response. No read is ever cancelled: bytes that arrive at the deadline are used."""
         loop, reader = asyncio.get_running_loop(), ResponseReader()
@@ -94,6 +111,7 @@
                 deadline = loop.time() + RESPONSE_TIMEOUT
             body = reader.feed(await connection.read())
             if body is not None:
+                self._responded_at = loop.time()
                 if not reader.reusable:
                     self.close()
                 return body
--- a/tests/core/test_endpoint_list.py
+++ b/tests/core/test_endpoint_list.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from structlog.testing import capture_logs
+
+from lockspoke.balancing.events import ReplicaState
+from lockspoke.core.replica_set import ListedReplica, Replica, ReplicaListUpdate
 from lockspoke.units import MILLISECOND, SECOND
 from tests.core.world import World
 
@@ -31,3 +35,24 @@
     world.core.endpoint_list_failed()
     world.pass_time(2 * SECOND)
     assert world.watches == [True, True]
+
+
+def drain(world: World, replica: Replica) -> None:
+    entry = ListedReplica(replica.uid, ReplicaState.DRAINING, replica.endpoint)
+    world.core.endpoint_list_changed(ReplicaListUpdate(2, False, (entry,)))
+
+
+def test_a_list_that_takes_replicas_out_of_use_says_when_they_last_got_an_attempt() -> None:
+    """A drain that came late to one gateway of many shows in it, with no line for single requests."""
+    world = World()
+    world.submit()
+    used = world.started[0].replica
+    world.pass_time(300 * MILLISECOND)
+    with capture_logs() as lines:
+        drain(world, used)
+    (line,) = [line for line in lines if line["event"] == "replicas_left_service"]
+    assert (line["replicas"], line["last_attempt_ms_ago"]) == (1, 300)
+    with capture_logs() as lines:
+        (other,) = [replica for replica in world.core.replica_set.replicas.values() if replica is not used]
+        drain(world, other)
+    assert "replicas_left_service" not in [line["event"] for line in lines], "it never got an attempt"
--- a/tests/golden/test_log_lines.py
+++ b/tests/golden/test_log_lines.py
@@ -29,6 +29,9 @@
 RECORDED = Path(__file__).parent / "data" / "log_lines.json"
 # The program tells these of its own accord every 10 s; of these lines only the last, at the end, is fixed.
 TIMED = "totals"
+# How late the program was: a busy machine decides whether and when these come.
+LATENESS_EVENTS = {"event_loop_late", "discovery_request_delayed"}
+LATENESS_FIELD = "loop_late_ms"
 
 
 def normalised(raw: dict[str, Any], words: dict[str, str]) -> dict[str, Any]:
@@ -73,7 +76,9 @@
                 await gateway.reading
                 words = {str(port): name for name, port in ports(gateway, first, second, replica).items()}
                 words |= {scratch: "<scratch>", gateway.folder: "<folder>"}
-                lines = gateway.logs
+                lines = [one for one in gateway.logs if one["event"] not in LATENESS_EVENTS]
+                for one in lines:
+                    one.pop(LATENESS_FIELD, None)
                 at = [number for number, one in enumerate(lines) if one["event"] == event_now(TIMED)]
                 lines = [one for number, one in enumerate(lines) if number not in at[:-1]]
                 return [normalised(one, words) for one in lines]
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -131,6 +131,7 @@
         self.targets: list[dict[str, Any]] = []
         self.changed = asyncio.Event()
         self.raw: bytes | None = None  # sent once instead of the list
+        self.raw_response: bytes | None = None  # sent once instead of a complete response; then the end
 
     def change(self, *replicas: FakeReplica, state: str = "up") -> None:
         self.targets = [target(replica, state) for replica in replicas]
@@ -139,6 +140,11 @@
         self.changed = asyncio.Event()
 
     async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        if self.raw_response is not None:
+            writer.write(self.raw_response)
+            self.raw_response = None
+            writer.close()
+            return
         listed: dict[str, Any] = {"rev": self.rev, "all": True, "targets": self.targets}
         if f"from={self.rev}&" in request.head.query and self.raw is None:
             hold = int(request.head.query.partition("hold_ms=")[2]) / 1000
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -16,7 +16,7 @@
 
 # From the lowest up: a package imports from its own row and the rows before it.
 LAYERS = (
-    ("units",),
+    ("rate_limited_log", "units"),
     ("balancing",),
     ("core", "simulator"),
     ("wire",),
--- a/tests/wire/discovery/test_watch.py
+++ b/tests/wire/discovery/test_watch.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable, Container
 from typing import Any, cast
 
 import pytest
+from structlog.testing import capture_logs
 from tornado.iostream import IOStream
 
 from lockspoke.core.endpoint_list import EndpointListListener
@@ -234,3 +236,34 @@
     assert (holds[0], holds[-1]) == (1500, 3490)
     assert watch.hold_duration_ms(777, 200) in holds and watch.hold_duration_ms(0, 1) == 1500
     assert max(watch.hold_duration_ms(index, 1024) for index in range(1024)) < 3500
+
+
+def test_a_watch_that_is_continued_late_is_logged() -> None:
+    """Changes in between count as notified though nobody has asked for them; no other line shows that."""
+    delay = 1.5 * discovery_connection.WATCH_CONTINUATION
+    dialled = 0
+
+    async def dial_late(endpoint: tuple[str, int]) -> IOStream:
+        nonlocal dialled
+        dialled += 1
+        if dialled == 2:
+            await asyncio.sleep(delay)
+        return await dial(endpoint)
+
+    async def scenario() -> None:
+        async with FakeReplica() as replica, FakeDiscovery() as discovery:
+            discovery.change(replica)
+            body = json.dumps({"rev": 2, "all": True, "targets": discovery.targets}).encode()
+            head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body)
+            discovery.raw_response = head + body
+            listener = RecordingListener(UNKNOWN_VERSION)
+            discovery_watch = watch.DiscoveryWatch(("127.0.0.1", discovery.port), HOLD_MS, dial_late)
+            discovery_watch.attach(cast(EndpointListListener, listener))
+            discovery_watch.watch(True)
+            await until(lambda: len(discovery.seen) >= 3)
+            discovery_watch.close()
+
+    with capture_logs() as lines:
+        asyncio.run(scenario())
+    (line,) = [line for line in lines if line["event"] == "discovery_request_delayed"]
+    assert line["delay_ms"] >= 1000 * delay and not line["connection_reused"]
