--- a/bench/batch_soak.py
+++ b/bench/batch_soak.py
@@ -32,7 +32,7 @@
 DEFAULT_LINES = 10_000  # of each batch
 LAST_CANCEL = 2.0  # seconds of a gateway's life within which its batches are cancelled
 LONGEST_LIFE = 4.0  # seconds until the restart
-# Seconds from SIGTERM to the earliest SIGKILL: the longest deadline, taken as 3 s where it is longer, and 0.7 s
+# Seconds from SIGTERM to the earliest SIGKILL: the longest deadline, taken as 3 s where longer, and 0.7 s
 # (the protocol page, "Figures").
 STOP_TIME = 3.7
 DECODE_AT_ONCE = 200  # lines of a result file
--- /dev/null
+++ b/bench/soak/discovery.py
@@ -0,0 +1,144 @@
+"""A stand-in of discovery: one list for all gateways, and a port of its own for each of them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from contextlib import suppress
+from typing import Any
+
+from lockspoke.wire.http.messages import Request
+from tests.standins import Server
+
+from .observations import DrainNotified, Observations
+from .replicas import SoakReplica
+
+# A change counts as notified so long after discovery had it and could be reached, whatever was written.
+LATEST_NOTIFICATION = 6.0
+
+
+class ReplicaList:
+    """The list, its versions, and what became of each replica's life."""
+
+    def __init__(self, replicas: list[SoakReplica]) -> None:
+        self.replicas = replicas
+        self.version = 1
+        self.states = ["up"] * len(replicas)
+        self.changed_at = [0] * len(replicas)  # version of each replica's last change
+        self.changed = asyncio.Event()
+
+    def set_state(self, index: int, state: str) -> None:
+        """Change one replica's state, which all watches learn."""
+        self.version += 1
+        self.states[index] = state
+        self.changed_at[index] = self.version
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def complete(self) -> dict[str, Any]:
+        """The complete list; removed replicas are not in it."""
+        targets = [self._target(index) for index, state in enumerate(self.states) if state != "removed"]
+        return {"rev": self.version, "all": True, "targets": targets}
+
+    def since(self, version: int) -> dict[str, Any]:
+        """The changes since a version."""
+        indexes = [index for index, changed_at in enumerate(self.changed_at) if changed_at > version]
+        targets = [self._target(index) for index in indexes]
+        return {"rev": self.version, "all": False, "targets": targets}
+
+    def _target(self, index: int) -> dict[str, Any]:
+        replica = self.replicas[index]
+        endpoint = f"127.0.0.1:{replica.port}"
+        state = self.states[index]
+        return {"uid": f"s-{index}", "endpoint": endpoint, "state": state, "boot_ms": replica.boot_ms}
+
+
+class SoakDiscovery(Server):
+    """Discovery as one gateway reaches it."""
+
+    def __init__(self, replicas: ReplicaList, seen: Observations) -> None:
+        super().__init__()
+        self.gateway = ""  # the life of the gateway that asks now
+        self.unreachable_until = 0.0  # answers 503 until then
+        self.silent_until = 0.0  # watches that are opened before then never get an answer
+        self._silent_since: float | None = None  # when a watch fell silent that nothing was written since
+        self._list = replicas
+        self._observations = seen
+        # By replica: its life that has ended, and since when discovery could have said so.
+        self._pending: dict[int, tuple[int, float]] = {}
+
+    def serve_new_gateway(self, gateway: str) -> None:
+        """Serve a new process from now on, which has been given the present list at its start."""
+        self.gateway = gateway
+        self._pending.clear()
+        self._silent_since = None
+        for index, state in enumerate(self._list.states):
+            if state != "up":
+                life = self._list.replicas[index].life
+                self._observations.drains.append(DrainNotified(gateway, index, life, time.monotonic()))
+
+    def life_ended(self, index: int) -> None:
+        """Note that a replica's life is over, for the latest time at which that counts as notified."""
+        self._pending[index] = (self._list.replicas[index].life, time.monotonic())
+
+    def count_overdue(self) -> None:
+        """Record changes that count as notified, whether or not they were written."""
+        now = time.monotonic()
+        for index, (life, since) in list(self._pending.items()):
+            at = max(since, self.unreachable_until) + LATEST_NOTIFICATION
+            if self._silent_since is not None:
+                at = min(at, max(since, self._silent_since + LATEST_NOTIFICATION))
+            if now >= at:
+                del self._pending[index]
+                self._observations.drains.append(DrainNotified(self.gateway, index, life, at))
+
+    def reset_connections(self) -> None:
+        """Reset all connections of the gateway."""
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(asyncio.CancelledError):  # the end of the run
+            await super()._serve(reader, writer)
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        """Answer a request for the list, or hold it until something changes."""
+        if time.monotonic() < self.unreachable_until:
+            writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+            return
+        query = dict(pair.partition("=")[::2] for pair in request.head.query.split("&") if pair)
+        listed = self._list.complete()
+        if "from" in query:
+            version, hold = int(query["from"]), int(query.get("hold_ms", "0")) / 1000
+            if hold and time.monotonic() < self.silent_until:
+                self._silent_since = time.monotonic()
+                return
+            if version >= self._list.version:
+                await self._wait_for_change(hold)
+            if hold and time.monotonic() < self.silent_until:
+                self._silent_since = time.monotonic()
+                return
+            listed = self._list.since(version)
+        if time.monotonic() < self.unreachable_until:
+            writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+            return
+        self._write(listed, writer)
+
+    async def _wait_for_change(self, hold: float) -> None:
+        with suppress(TimeoutError):
+            async with asyncio.timeout(hold):
+                await self._list.changed.wait()
+
+    def _write(self, listed: dict[str, Any], writer: asyncio.StreamWriter) -> None:
+        if writer.is_closing():
+            return
+        self._silent_since = None
+        body = json.dumps(listed).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        for index, (life, _) in list(self._pending.items()):
+            if self._list.states[index] != "up" or self._list.replicas[index].life > life:
+                del self._pending[index]
+                now = time.monotonic()
+                self._observations.drains.append(DrainNotified(self.gateway, index, life, now))
--- /dev/null
+++ b/bench/soak/replicas.py
@@ -0,0 +1,134 @@
+"""Stand-in replicas: they stream, break off, hang, decline, restart, and record each attempt."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import time
+from enum import Enum
+from typing import Any
+
+from lockspoke.wire.http.messages import Request, RequestHead
+from lockspoke.wire.http.request_parser import RequestParser
+from tests.standins import STREAM_HEAD, STREAM_TAIL, Server, chunk
+
+from .observations import AttemptSeen, Observations
+
+EVENT_INTERVAL = 0.02  # seconds
+READ_SIZE = 65536
+HANG_TIME = 6.0  # seconds for which a hanging stream says nothing before its connection is reset
+MAX_REQUEST_SIZE = 256 * 1024
+
+
+class Behaviour(Enum):
+    """How a replica answers one request."""
+
+    SERVE = "serve"
+    DECLINE = "decline"  # rejected unseen
+    ERROR = "error"
+    RESET = "reset"  # the connection is reset before, or amid, the stream
+    HANG = "hang"  # silence before, or amid, the stream
+
+
+WEIGHTS = {
+    Behaviour.SERVE: 0.92,
+    Behaviour.DECLINE: 0.03,
+    Behaviour.ERROR: 0.02,
+    Behaviour.RESET: 0.02,
+    Behaviour.HANG: 0.01,
+}
+
+
+class SoakReplica(Server):
+    """One replica; a life begins whenever it is started anew."""
+
+    def __init__(self, index: int, seed: int, seen: Observations) -> None:
+        super().__init__()
+        self.index = index
+        self.life = 0
+        self.boot_ms = 0
+        self._draws = random.Random(f"{seed}:replica {index}")
+        self._observations = seen
+
+    def restart(self) -> None:
+        """Begin a new life at the same address; connections of the old one are reset."""
+        self.life += 1
+        self.boot_ms = int(time.time() * 1000)
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all connections."""
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers = [writer for writer in self.writers if not writer.is_closing()]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        parser = RequestParser(MAX_REQUEST_SIZE)
+        life = self.life
+        try:
+            while data := await reader.read(READ_SIZE):
+                for piece in parser.feed(data):
+                    if isinstance(piece, RequestHead):
+                        attempt = self._record(piece, life)
+                        await self._answer(attempt, writer)
+        except (ConnectionError, asyncio.CancelledError):
+            pass  # the end of the connection, or of the run
+        finally:
+            writer.transport.abort()
+
+    def _record(self, head: RequestHead, life: int) -> AttemptSeen:
+        attempt = AttemptSeen(
+            request_id=head.headers.get("req-id"),
+            replica=self.index,
+            replica_life=life,
+            began_at=time.monotonic(),
+            deadline_ms=int(head.headers.get("req-deadline-ms", "0")),
+        )
+        self._observations.attempts.append(attempt)
+        return attempt
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        """Unused: requests are answered from their heads."""
+        raise NotImplementedError
+
+    async def _answer(self, attempt: AttemptSeen, writer: asyncio.StreamWriter) -> None:
+        behaviour = self._draws.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        events = self._draws.randint(1, 30)
+        breaks_after = self._draws.randint(0, events) if behaviour is not Behaviour.SERVE else events
+        if behaviour is Behaviour.DECLINE:
+            attempt.declined = True
+            writer.write(b"HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n")
+        elif behaviour is Behaviour.ERROR:
+            writer.write(b"HTTP/1.1 500 Fault\r\nContent-Length: 0\r\n\r\n")
+        else:
+            await self._stream(attempt, writer, events, breaks_after, behaviour)
+        await writer.drain()
+
+    async def _stream(
+        self,
+        attempt: AttemptSeen,
+        writer: asyncio.StreamWriter,
+        events: int,
+        breaks_after: int,
+        behaviour: Behaviour,
+    ) -> None:
+        for number in range(events):
+            if number == breaks_after:
+                break
+            writer.write((STREAM_HEAD if number == 0 else b"") + chunk(_timed_event()))
+            await asyncio.sleep(EVENT_INTERVAL)
+        if behaviour is Behaviour.SERVE:
+            writer.write(chunk(STREAM_TAIL) + chunk(b""))
+            attempt.finished = not writer.is_closing()
+            return
+        if behaviour is Behaviour.HANG:
+            await asyncio.sleep(HANG_TIME)
+        writer.transport.abort()
+
+
+def _timed_event() -> bytes:
+    """An event that holds the time at which it is written."""
+    event: dict[str, Any] = {"choices": [{"index": 0, "delta": {"content": repr(time.monotonic())}}]}
+    return b"data: " + json.dumps(event).encode() + b"\n\n"
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,132 @@
+"""Plays a schedule: starts the actors, carries out the steps, and returns what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import AsyncExitStack, suppress
+from functools import partial
+from pathlib import Path
+
+from .clients import SoakClient
+from .discovery import ReplicaList, SoakDiscovery
+from .gateways import SoakGateway
+from .observations import Observations, ReplyKind
+from .replicas import SoakReplica
+from .schedule import GATEWAYS, REPLICAS, Disturbance, Schedule, Step
+
+CLIENTS = 8  # of each gateway
+TICK = 0.01  # seconds between two measurements of the bench's own lateness
+FINISH_TIME = 1.0  # seconds at the end in which nothing new is disturbed
+
+
+class SoakRun:
+    """One run of a schedule."""
+
+    def __init__(self, schedule: Schedule, logs: Path | None = None) -> None:
+        self._schedule = schedule
+        self._logs = logs
+        self._seen = Observations()
+        seed = schedule.seed
+        self._replicas = [SoakReplica(index, seed, self._seen) for index in range(REPLICAS)]
+        self._list = ReplicaList(self._replicas)
+        self._discoveries = [SoakDiscovery(self._list, self._seen) for _ in range(GATEWAYS)]
+        self._gateways = [
+            SoakGateway(index, seed, discovery, self._list, self._seen)
+            for index, discovery in enumerate(self._discoveries)
+        ]
+        self._crowd: list[asyncio.StreamWriter] = []
+        self._steps: list[asyncio.Task[None]] = []
+
+    async def play(self) -> Observations:
+        """Play to the end."""
+        async with AsyncExitStack() as stack:
+            for server in (*self._replicas, *self._discoveries):
+                await stack.enter_async_context(server)
+            await asyncio.gather(*(gateway.start(self._logs) for gateway in self._gateways))
+            tasks = [asyncio.ensure_future(client.run()) for client in self._clients()]
+            tasks.append(asyncio.ensure_future(self._watch_clock()))
+            await self._open_crowd()
+            await self._carry_out_steps()
+            await asyncio.gather(*self._steps)
+            await asyncio.sleep(FINISH_TIME)
+            ended_at = time.monotonic()
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            for writer in self._crowd:
+                writer.close()
+            await asyncio.gather(*(gateway.stop_for_good() for gateway in self._gateways))
+        self._forget_unfinished(ended_at)
+        return self._seen
+
+    def _clients(self) -> list[SoakClient]:
+        seed, seen = self._schedule.seed, self._seen
+        return [
+            SoakClient(f"{gateway.index:02x}{number:06x}", seed, seen, partial(getattr, gateway, "life"))
+            for gateway in self._gateways
+            for number in range(CLIENTS)
+        ]
+
+    async def _open_crowd(self) -> None:
+        """Open the connections that never ask for anything."""
+        for gateway in self._gateways:
+            for _ in range(self._schedule.crowd):
+                with suppress(OSError):
+                    _, writer = await asyncio.open_connection("127.0.0.1", gateway.life.port)
+                    self._crowd.append(writer)
+
+    async def _watch_clock(self) -> None:
+        while True:
+            started_at = time.monotonic()
+            await asyncio.sleep(TICK)
+            self._seen.own_delays.append(time.monotonic() - started_at - TICK)
+            for discovery in self._discoveries:
+                discovery.count_overdue()
+
+    async def _carry_out_steps(self) -> None:
+        started_at = time.monotonic()
+        for step in self._schedule.steps:
+            await asyncio.sleep(max(0.0, started_at + step.at - time.monotonic()))
+            self._steps.append(asyncio.ensure_future(self._carry_out(step)))
+        await asyncio.sleep(max(0.0, started_at + self._schedule.seconds - time.monotonic()))
+
+    async def _carry_out(self, step: Step) -> None:
+        kind = step.disturbance
+        until = time.monotonic() + step.duration
+        if kind in (Disturbance.DRAIN, Disturbance.REMOVE):
+            await self._take_out(step)
+        elif kind is Disturbance.REPLICA_RESET:
+            self._replicas[step.target].reset_connections()
+        elif kind is Disturbance.DISCOVERY_RESET:
+            self._discoveries[step.target].reset_connections()
+        elif kind is Disturbance.DISCOVERY_SILENT:
+            self._discoveries[step.target].silent_until = until
+        elif kind is Disturbance.DISCOVERY_DOWN:
+            for discovery in self._discoveries:
+                discovery.unreachable_until = until
+                discovery.reset_connections()
+        elif kind is Disturbance.RELOAD:
+            await self._gateways[step.target].reload()
+        else:
+            await self._gateways[step.target].restart(step.signals)
+
+    async def _take_out(self, step: Step) -> None:
+        """Drain or remove a replica, and bring it back as a new process."""
+        for discovery in self._discoveries:
+            discovery.life_ended(step.target)
+        self._list.set_state(step.target, "draining" if step.disturbance is Disturbance.DRAIN else "removed")
+        await asyncio.sleep(step.duration)
+        self._replicas[step.target].restart()
+        self._list.set_state(step.target, "up")
+
+    def _forget_unfinished(self, ended_at: float) -> None:
+        """Leave out requests that were open as the run ended, and that are not overdue."""
+        for request in list(self._seen.requests.values()):
+            is_open = request.reply is None or request.reply is ReplyKind.GATEWAY_KILLED
+            if (
+                is_open
+                and request.ended_at == 0.0
+                and ended_at - request.sent_at < request.deadline_ms / 1000 + 5.0
+            ):
+                del self._seen.requests[request.request_id]
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the project's own measurements."""
--- /dev/null
+++ b/tests/bench/test_soak.py
@@ -0,0 +1,41 @@
+"""Short soaks with fixed seeds; docs/soak.md holds the long ones, which are played by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import warnings
+from pathlib import Path
+
+import pytest
+
+from bench.batch_soak import BatchSoak
+from bench.batch_soak import draw_schedule as draw_batch_schedule
+from bench.soak.judge import is_void, violations
+from bench.soak.run import SoakRun
+from bench.soak.schedule import Disturbance, draw_schedule
+
+SECONDS = 12.0
+LINES = 1000  # of each batch
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_short_soak_of_three_gateways_breaks_no_rule(seed: int) -> None:
+    seen = asyncio.run(SoakRun(draw_schedule(seed, SECONDS)).play())
+    assert len(seen.requests) > 100 and seen.drains, "something was observed"
+    if is_void(seen):
+        warnings.warn(f"soak of seed {seed}: void, the bench itself was late", stacklevel=1)
+        return
+    assert not violations(seen)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_short_soak_of_the_batch_front_keeps_the_aims(seed: int, tmp_path: Path) -> None:
+    result = asyncio.run(BatchSoak(draw_batch_schedule(seed), LINES, tmp_path).play())
+    if result.void:
+        warnings.warn(f"batch soak of seed {seed}: void, the bench itself was late", stacklevel=1)
+
+
+def test_a_seed_draws_the_same_schedule_each_time_and_another_seed_another_one() -> None:
+    assert draw_schedule(5, 30.0) == draw_schedule(5, 30.0) != draw_schedule(6, 30.0)
+    drawn = {step.disturbance for seed in range(20) for step in draw_schedule(seed, 30.0).steps}
+    assert drawn == set(Disturbance), "every disturbance is drawn by some seed"
