--- a/bench/soak/replicas.py
+++ b/bench/soak/replicas.py
@@ -115,13 +115,14 @@
         behaviour: Behaviour,
     ) -> None:
         for number in range(events):
-            if number == breaks_after:
+            if number == breaks_after or writer.is_closing():
                 break
             writer.write((STREAM_HEAD if number == 0 else b"") + chunk(_timed_event()))
             await asyncio.sleep(EVENT_INTERVAL)
         if behaviour is Behaviour.SERVE:
-            writer.write(chunk(STREAM_TAIL) + chunk(b""))
             attempt.finished = not writer.is_closing()
+            if attempt.finished:
+                writer.write(chunk(STREAM_TAIL) + chunk(b""))
             return
         if behaviour is Behaviour.HANG:
             await asyncio.sleep(HANG_TIME)
--- a/lockspoke/wire/discovery/follower.py
+++ b/lockspoke/wire/discovery/follower.py
@@ -102,10 +102,12 @@
                 may_hold = False
                 continue
             response, may_hold = await self._process(request, body)
-            if request.is_watch and response.update.version == request.version:
+            is_unchanged = request.is_watch and response.update.version == request.version
+            if is_unchanged and loop.time() - requested_at < request.hold_ms / 2000:
                 # Protects a service that responds at once, again and again, from a tight loop.
-                early = loop.time() - requested_at < request.hold_ms / 2000
-                await asyncio.sleep(UNCHANGED_PAUSE if early else 0)
+                await asyncio.sleep(UNCHANGED_PAUSE)
+            # Otherwise the next request is written at once, in the same turn of the event loop: what changes
+            # between a response and the next request counts as notified.
 
     async def _process(self, request: EndpointListRequest, body: bytes) -> tuple[EndpointListResponse, bool]:
         """Decode and apply a response; returns it, and whether it was applied as it is."""
