--- a/tests/batch/harness.py
+++ b/tests/batch/harness.py
@@ -10,16 +10,21 @@
 
 from lockspoke.balancing.events import Outcome
 from lockspoke.batch.lines import BatchLines
+from lockspoke.batch.messages import ApiRequest, RequestBody
 from lockspoke.batch.records import Batch
 from lockspoke.batch.runner import BatchRunner
 from lockspoke.batch.store import BatchStore
 from lockspoke.core.requests import Attempt
 from lockspoke.units import SECOND
+from lockspoke.wire.http.encoding import encode_request
+from lockspoke.wire.http.messages import MessagePart, RequestHead
+from lockspoke.wire.http.request_parser import RequestParser
 from tests.core.world import World
 from tests.standins import EVENTS, STREAM_TAIL
 
 ENDPOINT = "/v1/chat/completions"
 RESPONSE = b"".join(EVENTS) + STREAM_TAIL
+MAX_REQUEST_SIZE = 64 * 1024  # bytes
 TIMEOUT = 30  # seconds that a scenario may take
 LINE: dict[str, Any] = {
     "custom_id": "a",
@@ -34,6 +39,19 @@
     return [LINE | {"custom_id": f"c{n}"} | members for n in range(count)]
 
 
+def api_request(method: str, path: str, object_id: str, body: bytes = b"") -> ApiRequest:
+    """A request as handlers of the batch API get it."""
+    raw = encode_request(method, path, {"Host": "a"}, body)
+    head, *pieces = RequestParser(MAX_REQUEST_SIZE).feed(raw)
+    assert isinstance(head, RequestHead)
+    rest = iter(pieces)
+
+    async def next_piece() -> MessagePart:
+        return next(rest)
+
+    return ApiRequest(head, RequestBody(next_piece), object_id)
+
+
 class Harness:
     """A store, a runner, and a core whose attempts the test ends."""
 
--- a/tests/batch/test_status_changes.py
+++ b/tests/batch/test_status_changes.py
@@ -24,13 +24,11 @@
 from lockspoke.batch.errors import ApiError
 from lockspoke.batch.input_lines import InputIndex
 from lockspoke.batch.journal import Record
-from lockspoke.batch.messages import ApiRequest, RequestBody
+from lockspoke.batch.messages import ApiRequest
 from lockspoke.batch.records import Batch, BatchStatus
-from lockspoke.wire.http.messages import MessageEnd, MessagePart, RequestHead
-from lockspoke.wire.http.request_parser import RequestParser
 from tests.standins import until
 
-from .harness import Harness, lines
+from .harness import Harness, api_request, lines
 
 
 class HeldDisk:
@@ -71,16 +69,7 @@
 
 def cancel_request(batch: Batch) -> ApiRequest:
     """The request that cancels a batch, as a handler gets it."""
-    raw = b"POST /v1/batches/%b/cancel HTTP/1.1\r\nHost: a\r\n\r\n" % batch.id.encode()
-    head = RequestParser(1024).feed(raw)[0]
-    assert isinstance(head, RequestHead)
-
-    async def end_of_body() -> MessagePart:
-        return MessageEnd()
-
-    request = ApiRequest(head, RequestBody(end_of_body))
-    request.object_id = batch.id
-    return request
+    return api_request("POST", f"/v1/batches/{batch.id}/cancel", batch.id)
 
 
 def test_a_cancellation_that_is_being_written_as_validation_ends_is_kept(
--- a/tests/inventory/test_reconciler.py
+++ b/tests/inventory/test_reconciler.py
@@ -285,3 +285,22 @@
         )
         again = reconciler.step(current, now)
         assert not again.entries and not again.decisions
+
+
+def test_a_host_that_would_move_to_the_address_of_an_unchanged_one_is_held() -> None:
+    """Two names come to resolve to one address, and one of the hosts has not changed.
+
+    What happened: `resolve_address_conflicts` raised KeyError, so that nothing of the snapshot was applied,
+    nor of any later one with the conflict in it; the log said `inventory_refresh_failed`.
+
+    Why: it asked for the target of the host that occupies the address, and an unchanged host has none.
+    """
+    reconciler = started(3)
+    moved = ["w1,10.0.0.1,gen-a,up", "w2,10.0.0.1,gen-a,up", "w3,10.0.0.3,gen-a,draining"]
+    resolved = snapshot(*moved[:1], moved[2])
+    record = replace(reconciler.known["w2"].record, host="10.0.0.1")
+    resolved = replace(resolved, replicas={**resolved.replicas, "w2": record})
+    step = reconciler.step(resolved, 10)
+    assert actions(step) == {"w2": Action.HOLD, "w3": Action.DRAIN}
+    assert reconciler.known["w2"].record.host == "10.0.0.2"
+    assert [entry.uid for entry in step.entries] == ["w3"]
--- a/tests/wire/test_drain_simulation.py
+++ b/tests/wire/test_drain_simulation.py
@@ -33,3 +33,13 @@
     checker = simulate(seed, gateways, faults_in_a_row)
     assert checker.requests > 100, "there was traffic"
     assert not checker.violations
+
+
+def test_hundreds_of_gateways_keep_the_rule_through_two_faults_in_a_row() -> None:
+    """Discovery fails twice in a row for one of 200 gateways, which learns of a drain after the 6 s.
+
+    Why: its hold (up to 3.5 s), the failed request (up to 1.5 s) and the backoff, which is spread over 3.5 s
+    so that hundreds of gateways do not ask together, add up to 10 s. The bound is the rule's: at the latest
+    6 s after discovery had the change and could be reached, whatever the last request did.
+    """
+    assert not simulate(28, gateways=200, faults_in_a_row=2).violations
