Lines end though their input file cannot be read; an address conflict is resolved

Symptom: with a batch's input file gone, or all descriptors taken as a line ended, its slots were never given back: no batch started a line any more and SIGTERM waited until the kill. Cause: the result is read from the input file outside of what is repeated, and slots were not released after an error; the deletion of a file was checked and written without the lock of creations. An unchanged host has no target. Change: as said; a lost file gives an empty custom_id and the log line batch_input_lost.

--- a/lockspoke/batch/file_handlers.py
+++ b/lockspoke/batch/file_handlers.py
@@ -58,11 +58,13 @@
 
     async def delete(self, request: ApiRequest) -> JsonResponse:
         """`DELETE /v1/files/{id}`."""
-        file = find_file(self.store, request.object_id)
-        unfinished = [batch for batch in self.store.batches.values() if not batch.is_final]
-        if any(batch.input_file_id == file.id for batch in unfinished):
-            raise ApiError(409, "A batch that is not finished reads this file.", "id", "file_in_use")
-        await self.store.delete_file(file)
+        # With the lock no batch that reads the file is created while the deletion is written.
+        async with self.store.creation_lock:
+            file = find_file(self.store, request.object_id)
+            unfinished = [batch for batch in self.store.batches.values() if not batch.is_final]
+            if any(batch.input_file_id == file.id for batch in unfinished):
+                raise ApiError(409, "A batch that is not finished reads this file.", "id", "file_in_use")
+            await self.store.delete_file(file)
         return JsonResponse(deleted_file_object(file))
 
     async def content(self, request: ApiRequest) -> FileResponse:
--- a/lockspoke/batch/line_runner.py
+++ b/lockspoke/batch/line_runner.py
@@ -108,8 +108,10 @@
                 break
             if not await self._back_off(run, line, history.retry_delay(result.retry_after)):
                 return  # still open in the store: the line runs again after a restart
-        await self.end(run, line, status, result.body)
-        self.slots.release()
+        try:
+            await self.end(run, line, status, result.body)
+        finally:
+            self.slots.release()
 
     def _status_after(self, result: AttemptResult, history: _AttemptHistory) -> LineStatus | None:
         """How the line has ended; None if another attempt is due."""
@@ -143,7 +145,12 @@
 
     async def end(self, run: BatchRun, line: int, status: LineStatus, body: dict[str, Any]) -> None:
         """Store the end of a line; `body` is the response if it was served."""
-        result = self.lines.new_result(run.batch, run.index.offsets[line], status, body)
-        await retry_until_stored(lambda: self.store.end_line(run.batch, line, status, result))
+
+        async def store_end() -> None:
+            # Within what is repeated: the input file cannot be read while all descriptors are taken.
+            result = self.lines.new_result(run.batch, run.index.offsets[line], status, body)
+            await self.store.end_line(run.batch, line, status, result)
+
+        await retry_until_stored(store_end)
         run.active.discard(line)
         self.slots.changed.set()
--- a/lockspoke/batch/lines.py
+++ b/lockspoke/batch/lines.py
@@ -9,10 +9,11 @@
 from lockspoke.core.identifiers import key_identifier
 from lockspoke.core.interfaces import ResponseWriter
 from lockspoke.core.requests import ClientRequest
+from lockspoke.rate_limited_log import RateLimitedLog
 from lockspoke.units import SECOND
 
 from .chat_completion import ChatCompletionAssembler, PromptSize, measure_prompt
-from .input_lines import InputIndex, InputLine, file_error, index_input_file, read_line
+from .input_lines import InputIndex, InputLine, LineError, file_error, index_input_file, read_line
 from .records import Batch, LineStatus
 from .results import new_result
 from .store import BatchStore
@@ -45,6 +46,7 @@
         self.request_class = request_class
         self.first_token_timeout = first_token_timeout
         self.max_lines = max_lines
+        self._lost_input_log = RateLimitedLog("batch_input_lost")
 
     def index(self, batch: Batch) -> InputIndex:
         """Validate the batch's input file.
@@ -102,8 +104,20 @@
     def new_result(
         self, batch: Batch, offset: int, status: LineStatus, body: dict[str, Any]
     ) -> dict[str, Any]:
-        """The result of the line at an offset; `body` is the response of a line that was served."""
-        return new_result(self.read(batch, offset).custom_id, status, body)
+        """The result of the line at an offset; `body` is the response of a line that was served.
+
+        Its `custom_id` is empty if the input file is gone or was changed.
+
+        Raises:
+            OSError: The input file cannot be read at the moment.
+        """
+        try:
+            custom_id = self.read(batch, offset).custom_id
+        except (FileNotFoundError, LineError) as error:
+            # Nobody can tell the line's name any more, but it still has to end.
+            self._lost_input_log.info(self.store.now(), batch=batch.id, reason=repr(error))
+            custom_id = ""
+        return new_result(custom_id, status, body)
 
 
 def _request_extra(prompt: PromptSize, prefix: str) -> str:
--- a/lockspoke/batch/scheduler.py
+++ b/lockspoke/batch/scheduler.py
@@ -96,8 +96,10 @@
 
     def _end_without_attempt(self, run: BatchRun, line: int, status: LineStatus) -> None:
         async def end() -> None:
-            await self.runner.end(run, line, status, {})
-            self.ending -= 1
+            try:
+                await self.runner.end(run, line, status, {})
+            finally:
+                self.ending -= 1
 
         run.active.add(line)
         self.ending += 1
--- a/lockspoke/inventory/address_conflicts.py
+++ b/lockspoke/inventory/address_conflicts.py
@@ -53,5 +53,8 @@
 
 
 def _changes_address(name: str, targets: Mapping[str, Target], known: Mapping[str, KnownReplica]) -> bool:
-    replica, record = known.get(name), targets[name].record
+    target = targets.get(name)
+    if target is None:
+        return False  # an unchanged host
+    replica, record = known.get(name), target.record
     return replica is None or record is None or record.address != replica.record.address
