A reload amid a stop decides on late requests; a gone uploader is no store fault

Symptom: with a SIGHUP during the shutdown that ends the resumption of streams, late requests were accepted and the kill cut them; one that begins it left them rejected. A client that disconnected in an upload was logged as store_unavailable. Cause: whether late requests are rejected was decided once, at SIGTERM. Tornado's StreamClosedError is an OSError. Change: the shutdown's polls and its timer ask the configuration in force; a closed stream is passed on. Measured: 3 tests failed before and pass now; lifecycle, operators, public API, golden reload and log lines: 51 passed.

--- a/lockspoke/batch/application.py
+++ b/lockspoke/batch/application.py
@@ -5,6 +5,7 @@
 import hmac
 
 import structlog
+from tornado.iostream import StreamClosedError
 
 from .batch_handlers import BatchHandlers
 from .errors import ApiError
@@ -75,6 +76,8 @@
         request.object_id = match.object_id
         try:
             return await match.handler(request)
+        except StreamClosedError:
+            raise  # the client has disconnected; an OSError, too, but no fault of the store
         except (StoreError, OSError) as error:
             log.error("store_unavailable", error=str(error))
             raise ApiError(503, "The store takes nothing at the moment; try again.") from None
--- a/lockspoke/lifecycle/graceful_shutdown.py
+++ b/lockspoke/lifecycle/graceful_shutdown.py
@@ -43,11 +43,10 @@
         gateway.state.enter(ProgramPhase.DRAINING)
         gateway.clients.admission_mode = AdmissionMode.ACCEPT_AND_CLOSE
         drains = [asyncio.ensure_future(subsystem.drain()) for subsystem in gateway.subsystems]
-        if not self._clients_resume_streams:
-            # No stream may be cut off then, and none is sure to end in time: its replica may be slow or hang.
-            asyncio.get_running_loop().call_at(
-                self._started_at + REJECT_TIME_WITHOUT_RESUME, self._reject_new_requests
-            )
+        # At its exact time; a reload that changes it later is noticed by the polls below.
+        asyncio.get_running_loop().call_at(
+            self._started_at + REJECT_TIME_WITHOUT_RESUME, self._update_admission
+        )
         await self._accept_late_connections()
         gateway.clients.listener.stop()
         await self._finish_open_requests()
@@ -62,20 +61,26 @@
 
     async def _accept_late_connections(self) -> None:
         loop, listener = asyncio.get_running_loop(), self._gateway.clients.listener
-        end = min(self._started_at + MAX_ACCEPT_TIME, self._kill_at - HANDOFF_BEFORE_KILL)
-        if not self._clients_resume_streams:
-            end = min(end, self._started_at + MAX_ACCEPT_TIME_WITHOUT_RESUME)
-        while loop.time() < end:
+        while loop.time() < self._accept_end():
             await asyncio.sleep(ACCEPT_POLL_INTERVAL)
+            self._update_admission()
             listener.close_idle(IDLE_TIME)
             is_quiet = loop.time() - listener.last_accept >= IDLE_TIME
             if is_quiet and loop.time() - self._started_at >= MIN_ACCEPT_TIME:
                 return
 
+    def _accept_end(self) -> float:
+        """When no new connections are accepted any more, by the configuration in force."""
+        end = min(self._started_at + MAX_ACCEPT_TIME, self._kill_at - HANDOFF_BEFORE_KILL)
+        if not self._clients_resume_streams:
+            end = min(end, self._started_at + MAX_ACCEPT_TIME_WITHOUT_RESUME)
+        return end
+
     async def _finish_open_requests(self) -> None:
         gateway, loop = self._gateway, asyncio.get_running_loop()
         listener = gateway.clients.listener
         while listener.connections or gateway.core.requests:
+            self._update_admission()
             listener.close_idle(IDLE_TIME)
             now = loop.time()
             if now >= self._kill_at - HANDOFF_BEFORE_KILL:
@@ -87,8 +92,16 @@
                 )
             await asyncio.sleep(FINISH_POLL_INTERVAL)
 
-    def _reject_new_requests(self) -> None:
-        """Reject requests on connections that clients still have, so that they use other gateways."""
-        if not self._finished:
-            self._gateway.state.enter(ProgramPhase.REJECTING)
-            self._gateway.clients.admission_mode = AdmissionMode.REJECT
+    def _update_admission(self) -> None:
+        """Reject late requests where clients do not resume streams, so that they use other gateways.
+
+        No stream may be cut off there, and none is sure to end in time: its replica may be slow or hang.
+        """
+        if self._finished:
+            return
+        is_late = asyncio.get_running_loop().time() >= self._started_at + REJECT_TIME_WITHOUT_RESUME
+        rejects = is_late and not self._clients_resume_streams
+        mode = AdmissionMode.REJECT if rejects else AdmissionMode.ACCEPT_AND_CLOSE
+        if mode is not self._gateway.clients.admission_mode:
+            self._gateway.clients.admission_mode = mode
+            self._gateway.state.enter(ProgramPhase.REJECTING if rejects else ProgramPhase.DRAINING)
--- a/tests/batch/test_public_api.py
+++ b/tests/batch/test_public_api.py
@@ -128,3 +128,26 @@
         error = (await api.request(method, path, body, expect=status))[0]["error"]
         assert error["message"]
         assert error["type"] == "invalid_request_error"
+
+
+def test_a_client_that_disconnects_in_the_middle_of_an_upload_is_no_fault_of_the_store(
+    tmp_path: Path,
+) -> None:
+    """Its end was logged as `store_unavailable`, which wakes somebody up: a closed stream is an OSError."""
+    options = ("--batch", batch_config(tmp_path))
+
+    async def scenario() -> None:
+        async with FakeReplica() as replica, Program(replica, options=options) as program:
+            api = await connect(program)
+            head = b"POST /v1/files HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n"
+            api.client.writer.write(head + b"Content-Type: multipart/form-data; boundary=b\r\n\r\n--b\r\n")
+            await api.client.writer.drain()
+            await asyncio.sleep(0.1)
+            api.client.writer.transport.abort()
+            other = await connect(program)
+            await other.send_form("/v1/files", "file", input_file(1))
+            assert program.log("store_unavailable") is None
+            assert await program.terminate() == 0
+        assert program.log("store_unavailable") is None
+
+    asyncio.run(scenario())
--- a/tests/lifecycle/test_graceful_shutdown.py
+++ b/tests/lifecycle/test_graceful_shutdown.py
@@ -104,3 +104,49 @@
         assert (status, complete, fields["connection"]) == (503, True, "close")
         assert float(fields["retry-after"]) > 0 and len(replica.seen) == 1
         assert await early.reader.readuntil(EVENTS[0]), "a request accepted in time continues"
+
+
+@run
+async def test_a_reload_during_the_shutdown_that_ends_the_resumption_of_streams_is_obeyed() -> None:
+    """From then on a request that comes too late to finish is rejected, as if it had been so at SIGTERM.
+
+    What happened: such a request was accepted, its stream was not handed off, as its client would not resume
+    it, and the kill cut it. Why: whether to reject late requests was decided once, at SIGTERM.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        replica = await stack.enter_async_context(FakeReplica(stream_endlessly))
+        program = await stack.enter_async_context(Program(replica, familyInfo={"resume": True}))
+        early, late = [await stack.enter_async_context(Client(program.port)) for _ in range(2)]
+        early.writer.write(request_bytes(1))
+        await until(lambda: len(replica.seen) == 1)
+        request = request_bytes(2)
+        late.writer.write(request[:20])
+        program.process.terminate()
+        await until(lambda: program.log("phase", now="draining") is not None)
+        program.reload(settings=program.raw_config["settings"] | {"familyInfo": {"resume": False}})
+        await until(lambda: program.log("reloaded") is not None)
+        await asyncio.sleep(1.0)
+        status, fields, _, complete = await late.request(request[20:])
+        assert (status, complete, fields["connection"]) == (503, True, "close")
+        assert len(replica.seen) == 1
+
+
+@run
+async def test_a_reload_during_the_shutdown_that_begins_the_resumption_of_streams_is_obeyed() -> None:
+    """From then on late requests are accepted: what is open before the kill is handed off."""
+    async with contextlib.AsyncExitStack() as stack:
+        replica = await stack.enter_async_context(FakeReplica(stream_endlessly))
+        program = await stack.enter_async_context(Program(replica, familyInfo={"resume": False}))
+        early, late = [await stack.enter_async_context(Client(program.port)) for _ in range(2)]
+        early.writer.write(request_bytes(1))
+        await until(lambda: len(replica.seen) == 1)
+        request = request_bytes(2)
+        late.writer.write(request[:20])
+        program.process.terminate()
+        await until(lambda: program.log("phase", now="draining") is not None)
+        program.reload(settings=program.raw_config["settings"] | {"familyInfo": {"resume": True}})
+        await until(lambda: program.log("reloaded") is not None)
+        await asyncio.sleep(1.0)
+        status, _, body, complete = await late.request(request[20:])
+        assert (status, complete) == (200, False) and body.startswith(EVENTS[0])
+        assert await asyncio.wait_for(program.process.wait(), WAIT_TIMEOUT) == 0
