--- a/lockspoke/batch/connection.py
+++ b/lockspoke/batch/connection.py
@@ -78,6 +78,9 @@
             data = await self.stream.read_bytes(READ_SIZE, partial=True)
             self._mark_active()
             self._pieces = self._parser.feed(data)
+            # A read does not wait while the socket holds bytes: without this a fast client that sends a large
+            # body would keep the event loop until it has sent all of it.
+            await asyncio.sleep(0)
         return self._pieces.pop(0)
 
     def _mark_active(self) -> None:
--- /dev/null
+++ b/tests/wire/clients/test_flood.py
@@ -0,0 +1,57 @@
+"""A client that floods its connection must not hold the event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import pytest
+
+from tests.batch.gateway_probes import PROBE_TIMEOUT, GatewayProbes, TimestampReplica
+from tests.standins import Program, until
+
+FLOOD_SECONDS = 2.0
+# In a process of its own, so that it is as fast as the kernel and does not delay the probes.
+FLOOD = """
+import socket, sys, time
+port, first, seconds = int(sys.argv[1]), sys.argv[2].encode().decode("unicode_escape").encode(), float(sys.argv[3])
+peer = socket.create_connection(("127.0.0.1", port))
+peer.settimeout(0.5)
+peer.sendall(first)
+end = time.monotonic() + seconds
+piece = sys.argv[4].encode().decode("unicode_escape").encode() * 1000
+try:
+    while time.monotonic() < end:
+        peer.send(piece)
+except OSError:
+    pass
+"""
+HEAD = r"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: 00000000000000ff\r\nReq-Kind: docs\r\n"
+FLOODS = {
+    "after a request that closes": (HEAD + r"Connection: close\r\nContent-Length: 2\r\n\r\n{}", "x"),
+    "after a malformed request": (r"NONSENSE\r\n\r\n", "x"),
+    "of empty lines": (r"\r\n", r"\r\n"),
+    "of small requests": ("", r"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"),
+    "of small chunks": (HEAD + r"Transfer-Encoding: chunked\r\n\r\n", r"1\r\nx\r\n"),
+    "of a body without an end": (HEAD + r"Content-Length: 100000000\r\n\r\n", "x"),
+}
+
+
+@pytest.mark.parametrize("name", FLOODS)
+def test_a_flood_delays_nobody_else(name: str) -> None:
+    first, repeated = FLOODS[name]
+
+    async def scenario() -> None:
+        async with TimestampReplica() as replica, Program(replica, operator=True) as program:
+            async with GatewayProbes(program).running() as measurements:
+                await until(lambda: bool(measurements.event_delays))
+                arguments = (str(program.port), first, str(FLOOD_SECONDS), repeated)
+                process = await asyncio.create_subprocess_exec(sys.executable, "-c", FLOOD, *arguments)
+                async with asyncio.timeout(FLOOD_SECONDS + PROBE_TIMEOUT):
+                    assert await process.wait() == 0
+            print(name, measurements.summary())
+            assert not measurements.is_void(), f"the test's own loop was late: {measurements.summary()}"
+            assert not measurements.violations(), measurements.summary()
+            assert await program.terminate() == 0
+
+    asyncio.run(scenario())
