--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -19,16 +19,16 @@
 DEADLINES_MS = {"chat": 3000, "once": 2000}
 READ_SIZE = 65536
 PATIENCE = 12.0  # seconds for a reply; far longer than any stream of the stand-ins takes
-LEAVE_SHARE = 0.05  # of requests, whose client closes its connection early
+DISCONNECT_SHARE = 0.05  # of requests, whose client closes its connection early
 PIECES_SHARE = 0.1  # of requests that are written in two pieces
 LONGEST_REST = 0.3  # seconds between two requests
 
 
 @dataclass(slots=True)
-class GatewayLife:
+class GatewayProcess:
     """One process of a gateway, as its clients know it."""
 
-    name: str  # with the number of its life
+    name: str  # with the number of the process
     port: int
     accepts: bool = True  # whether clients open new connections to it
     terminated_at: float | None = None  # when it got its first SIGTERM
@@ -42,32 +42,34 @@
 class SoakClient:
     """One client, with one connection at a time."""
 
-    def __init__(self, name: str, seed: int, seen: Observations, life: Callable[[], GatewayLife]) -> None:
+    def __init__(
+        self, name: str, seed: int, seen: Observations, process: Callable[[], GatewayProcess]
+    ) -> None:
         self._draws = random.Random(f"{seed}:client {name}")
         self._name = name
         self._number = 0
         self._observations = seen
-        self._current_life = life
+        self._current_process = process
 
     async def run(self) -> None:
         """Send requests until cancelled."""
         while True:
-            life = self._current_life()
-            if not life.accepts:
+            process = self._current_process()
+            if not process.accepts:
                 await asyncio.sleep(0.05)
                 continue
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", life.port)
+                reader, writer = await asyncio.open_connection("127.0.0.1", process.port)
             except OSError:
                 await asyncio.sleep(0.05)
                 continue
             try:
-                await self._use(life, reader, writer)
+                await self._use(process, reader, writer)
             finally:
                 writer.close()
 
     async def _use(
-        self, life: GatewayLife, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, process: GatewayProcess, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Send requests on a connection until one side closes it, also after the gateway's SIGTERM."""
         is_first = True
@@ -75,46 +77,50 @@
             await asyncio.sleep(self._draws.uniform(0.0, LONGEST_REST))
             if reader.at_eof():
                 return
-            if not await self._request(life, reader, writer, is_first):
+            if not await self._request(process, reader, writer, is_first):
                 return
             is_first = False
 
     async def _request(
-        self, life: GatewayLife, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, is_first: bool
+        self,
+        process: GatewayProcess,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_first: bool,
     ) -> bool:
         """Send one request and read its reply; returns whether the connection may be used again."""
         self._number += 1
         kind = self._draws.choice(list(DEADLINES_MS))
-        leaves_after = self._draws.uniform(0.0, 0.5) if self._draws.random() < LEAVE_SHARE else None
-        request = ClientRequestSeen(f"{self._name}{self._number:08x}", life.name, kind, DEADLINES_MS[kind])
+        disconnects_after = self._draws.uniform(0.0, 0.5) if self._draws.random() < DISCONNECT_SHARE else None
+        request = ClientRequestSeen(f"{self._name}{self._number:08x}", process.name, kind, DEADLINES_MS[kind])
         try:
             await self._write(writer, request)
         except ConnectionError:
             return False  # the last byte was not written: the gateway has not taken it
-        if life.terminated_at is not None:
-            request.sent_after_sigterm = request.sent_at - life.terminated_at
+        if process.terminated_at is not None:
+            request.sent_after_sigterm = request.sent_at - process.terminated_at
         self._observations.requests[request.request_id] = request
         try:
-            async with asyncio.timeout(PATIENCE if leaves_after is None else leaves_after):
+            async with asyncio.timeout(PATIENCE if disconnects_after is None else disconnects_after):
                 request.reply, reusable = await self._read_reply(reader, request)
         except GatewayClosedError:
             request.ended_at = time.monotonic()
-            self._note_unanswered(life, request, is_first)
+            self._note_unanswered(process, request, is_first)
             return False
         except TimeoutError:
             writer.transport.abort()
-            if leaves_after is not None:
-                request.left_at = request.ended_at = time.monotonic()
-                request.reply = ReplyKind.CLIENT_LEFT
+            if disconnects_after is not None:
+                request.disconnected_at = request.ended_at = time.monotonic()
+                request.reply = ReplyKind.CLIENT_DISCONNECTED
             return False
         request.ended_at = time.monotonic()
-        if request.reply is ReplyKind.TRUNCATED and life.killed:
+        if request.reply is ReplyKind.TRUNCATED and process.killed:
             request.reply = ReplyKind.GATEWAY_KILLED
         return reusable
 
-    def _note_unanswered(self, life: GatewayLife, request: ClientRequestSeen, is_first: bool) -> None:
+    def _note_unanswered(self, process: GatewayProcess, request: ClientRequestSeen, is_first: bool) -> None:
         """A request that met the close of an idle connection was not read: its client would send it again."""
-        if life.killed:
+        if process.killed:
             request.reply = ReplyKind.GATEWAY_KILLED
         elif is_first:
             request.reply = ReplyKind.UNANSWERED
--- a/bench/soak/discovery.py
+++ b/bench/soak/discovery.py
@@ -19,7 +19,7 @@
 
 
 class ReplicaList:
-    """The list, its versions, and what became of each replica's life."""
+    """The list, its versions, and what became of each replica."""
 
     def __init__(self, replicas: list[SoakReplica]) -> None:
         self.replicas = replicas
@@ -59,13 +59,13 @@
 
     def __init__(self, replicas: ReplicaList, seen: Observations) -> None:
         super().__init__()
-        self.gateway = ""  # the life of the gateway that asks now
+        self.gateway = ""  # the process of the gateway that asks now
         self.unreachable_until = 0.0  # answers 503 until then
         self.silent_until = 0.0  # watches that are opened before then never get an answer
         self._silent_since: float | None = None  # when a watch fell silent that nothing was written since
         self._list = replicas
         self._observations = seen
-        # By replica: its life that has ended, and since when discovery could have said so.
+        # By replica: its incarnation that has ended, and since when discovery could have said so.
         self._pending: dict[int, tuple[int, float]] = {}
 
     def serve_new_gateway(self, gateway: str) -> None:
@@ -75,23 +75,23 @@
         self._silent_since = None
         for index, state in enumerate(self._list.states):
             if state != "up":
-                life = self._list.replicas[index].life
-                self._observations.drains.append(DrainNotified(gateway, index, life, time.monotonic()))
+                incarnation = self._list.replicas[index].incarnation
+                self._observations.drains.append(DrainNotified(gateway, index, incarnation, time.monotonic()))
 
-    def life_ended(self, index: int) -> None:
-        """Note that a replica's life is over, for the latest time at which that counts as notified."""
-        self._pending[index] = (self._list.replicas[index].life, time.monotonic())
+    def incarnation_ended(self, index: int) -> None:
+        """Note that a replica's incarnation is over, for the latest time at which that counts as notified."""
+        self._pending[index] = (self._list.replicas[index].incarnation, time.monotonic())
 
     def count_overdue(self) -> None:
         """Record changes that count as notified, whether or not they were written."""
         now = time.monotonic()
-        for index, (life, since) in list(self._pending.items()):
+        for index, (incarnation, since) in list(self._pending.items()):
             at = max(since, self.unreachable_until) + LATEST_NOTIFICATION
             if self._silent_since is not None:
                 at = min(at, max(since, self._silent_since + LATEST_NOTIFICATION))
             if now >= at:
                 del self._pending[index]
-                self._observations.drains.append(DrainNotified(self.gateway, index, life, at))
+                self._observations.drains.append(DrainNotified(self.gateway, index, incarnation, at))
 
     def reset_connections(self) -> None:
         """Reset all connections of the gateway."""
@@ -137,8 +137,8 @@
         self._silent_since = None
         body = json.dumps(listed).encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-        for index, (life, _) in list(self._pending.items()):
-            if self._list.states[index] != "up" or self._list.replicas[index].life > life:
+        for index, (incarnation, _) in list(self._pending.items()):
+            if self._list.states[index] != "up" or self._list.replicas[index].incarnation > incarnation:
                 del self._pending[index]
                 now = time.monotonic()
-                self._observations.drains.append(DrainNotified(self.gateway, index, life, now))
+                self._observations.drains.append(DrainNotified(self.gateway, index, incarnation, now))
--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -12,7 +12,7 @@
 from lockspoke.units import SECOND
 from tests.standins import Client, Program
 
-from .clients import DEADLINES_MS, GatewayLife
+from .clients import DEADLINES_MS, GatewayProcess
 from .discovery import ReplicaList, SoakDiscovery
 from .observations import GatewayExit, Observations
 from .schedule import GATEWAYS, KILL_AFTER
@@ -40,7 +40,7 @@
         self, index: int, seed: int, discovery: SoakDiscovery, replicas: ReplicaList, seen: Observations
     ) -> None:
         self.index = index
-        self.life = GatewayLife(f"g{index}.0", 0, accepts=False)
+        self.process = GatewayProcess(f"g{index}.0", 0, accepts=False)
         self._draws = random.Random(f"{seed}:gateway {index}")
         self._discovery = discovery
         self._replicas = replicas
@@ -65,7 +65,7 @@
         self._program = program
         async with asyncio.timeout(READY_TIMEOUT), Client(program.port) as client:
             await _wait_until_ready(client)
-        self.life = GatewayLife(name, program.port)
+        self.process = GatewayProcess(name, program.port)
         self._logs = logs
 
     async def reload(self) -> None:
@@ -85,13 +85,13 @@
             await self.start(self._logs)
 
     async def _stop(self, signals: tuple[str, ...]) -> None:
-        program, life = self._program, self.life
+        program, process = self._program, self.process
         assert program is not None
         self._program = None
-        started_at = life.terminated_at = time.monotonic()
+        started_at = process.terminated_at = time.monotonic()
         program.process.terminate()
         closing = asyncio.get_running_loop().call_later(
-            self._draws.uniform(*ACCEPTS_FOR), setattr, life, "accepts", False
+            self._draws.uniform(*ACCEPTS_FOR), setattr, process, "accepts", False
         )
         for name in signals:
             await asyncio.sleep(SIGNAL_INTERVAL)
@@ -101,14 +101,14 @@
             async with asyncio.timeout(KILL_AFTER - (time.monotonic() - started_at)):
                 await program.process.wait()
         except TimeoutError:
-            life.killed = True
+            process.killed = True
             program.process.kill()
             await program.process.wait()
         closing.cancel()
-        life.accepts = False
+        process.accepts = False
         code, after = program.process.returncode or 0, time.monotonic() - started_at
-        self._observations.exits.append(GatewayExit(life.name, code, life.killed, after))
-        await self._close(program, life)
+        self._observations.exits.append(GatewayExit(process.name, code, process.killed, after))
+        await self._close(program, process)
 
     async def stop_for_good(self) -> None:
         """Kill the process at the end of the run."""
@@ -118,17 +118,17 @@
                 return
             if program.process.returncode is not None:
                 code = program.process.returncode
-                self._observations.crashes.append(f"{self.life.name} ended with {code} by itself")
-            self.life.killed = True
-            await self._close(program, self.life)
+                self._observations.crashes.append(f"{self.process.name} ended with {code} by itself")
+            self.process.killed = True
+            await self._close(program, self.process)
 
-    async def _close(self, program: Program, life: GatewayLife) -> None:
+    async def _close(self, program: Program, process: GatewayProcess) -> None:
         await program.__aexit__(None, None, None)
         faults = [line for line in program.logs if line.get("level") == "error"]
-        self._observations.crashes += [f"{life.name} logged {line}" for line in faults]
+        self._observations.crashes += [f"{process.name} logged {line}" for line in faults]
         if self._logs is not None:
             self._logs.mkdir(parents=True, exist_ok=True)
-            (self._logs / f"{life.name}.log").write_text("".join(program.raw_logs))
+            (self._logs / f"{process.name}.log").write_text("".join(program.raw_logs))
 
 
 async def _wait_until_ready(client: Client) -> None:
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -14,7 +14,7 @@
 
 SLACK = 0.05  # seconds; "each time limit being 50 ms longer"
 DRAIN_GRACE = 0.25  # seconds after a drain is notified
-GONE_CLIENT_GRACE = 0.1  # seconds after a client's close
+DISCONNECT_GRACE = 0.1  # seconds after a client's close
 DEADLINE_SLACK_MS = 150
 MAX_EVENT_DELAY = 0.3  # seconds from a replica's write to the client's read
 MAX_LATE_STREAMS = 0.05  # share of streams with an event later than that
@@ -42,20 +42,20 @@
 
 def violations(seen: Observations) -> list[Violation]:
     """All broken rules."""
-    checks = (_drains, _answers, _forbidden_repeats, _deadlines, _gone_clients, _late_events, _exits)
+    checks = (_drains, _answers, _forbidden_repeats, _deadlines, _disconnected_clients, _late_events, _exits)
     return [violation for check in checks for violation in check(seen)]
 
 
 def _drains(seen: Observations) -> Iterator[Violation]:
     notified: dict[tuple[str, int, int], float] = {}
     for drain in seen.drains:
-        key = (drain.gateway, drain.replica, drain.replica_life)
+        key = (drain.gateway, drain.replica, drain.replica_incarnation)
         notified[key] = min(drain.at, notified.get(key, drain.at))
     for attempt in seen.attempts:
         request = seen.requests.get(attempt.request_id)
         if request is None:
             continue
-        at = notified.get((request.gateway, attempt.replica, attempt.replica_life))
+        at = notified.get((request.gateway, attempt.replica, attempt.replica_incarnation))
         if at is not None and attempt.began_at > at + DRAIN_GRACE + SLACK:
             late = attempt.began_at - at
             yield Violation(
@@ -116,24 +116,24 @@
         request = seen.requests.get(attempt.request_id)
         if request is None or not request.sent_at:
             continue
-        left_ms = request.deadline_ms - 1000 * (attempt.began_at - request.sent_at)
-        if attempt.deadline_ms > max(left_ms, 0) + DEADLINE_SLACK_MS + 1000 * SLACK:
+        remaining_ms = request.deadline_ms - 1000 * (attempt.began_at - request.sent_at)
+        if attempt.deadline_ms > max(remaining_ms, 0) + DEADLINE_SLACK_MS + 1000 * SLACK:
             yield Violation(
                 "deadline",
                 f"request {attempt.request_id}: {attempt.deadline_ms} ms passed on by {request.gateway}, "
-                f"{left_ms:.0f} ms left to the client, {DEADLINE_SLACK_MS} ms of slack",
+                f"{remaining_ms:.0f} ms left to the client, {DEADLINE_SLACK_MS} ms of slack",
             )
 
 
-def _gone_clients(seen: Observations) -> Iterator[Violation]:
+def _disconnected_clients(seen: Observations) -> Iterator[Violation]:
     for attempt in seen.attempts:
         request = seen.requests.get(attempt.request_id)
-        if request is None or request.left_at is None:
+        if request is None or request.disconnected_at is None:
             continue
-        late = attempt.began_at - request.left_at
-        if late > GONE_CLIENT_GRACE + SLACK:
+        late = attempt.began_at - request.disconnected_at
+        if late > DISCONNECT_GRACE + SLACK:
             yield Violation(
-                "gone client",
+                "disconnected client",
                 f"request {attempt.request_id} by {request.gateway} began {late:.3f} s after its client left",
             )
 
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -14,7 +14,7 @@
     FAILED = "failed"
     TRUNCATED = "truncated"  # a stream without its last chunk
     UNANSWERED = "unanswered"  # the gateway ended the connection without a byte
-    CLIENT_LEFT = "client_left"
+    CLIENT_DISCONNECTED = "client_disconnected"
     GATEWAY_KILLED = "gateway_killed"  # the connection ended at a SIGKILL
 
 
@@ -23,13 +23,13 @@
     """One request as its client saw it."""
 
     request_id: str
-    gateway: str  # name and number of its life, such as "g1.2"
+    gateway: str  # name and number of the process, such as "g1.2"
     class_name: str
     deadline_ms: int
     sent_at: float = 0.0  # when its last byte was written
     ended_at: float = 0.0
     reply: ReplyKind | None = None  # None: no end within the judge's patience
-    left_at: float | None = None  # when the client closed its connection
+    disconnected_at: float | None = None  # when the client closed its connection
     sent_after_sigterm: float | None = None  # seconds; None before the gateway's SIGTERM
     longest_event_delay: float = 0.0
 
@@ -40,7 +40,7 @@
 
     request_id: str
     replica: int
-    replica_life: int  # counts the restarts of the replica
+    replica_incarnation: int  # counts the restarts of the replica
     began_at: float  # when its first byte was read
     deadline_ms: int
     finished: bool = False  # the whole stream was written
@@ -49,11 +49,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainNotified:
-    """Discovery has written to a gateway that a replica's life is over, or has to be taken as heard."""
+    """Discovery has told a gateway, or counts as having told it, that a replica is out of use."""
 
     gateway: str
     replica: int
-    replica_life: int
+    replica_incarnation: int
     at: float
 
 
--- a/bench/soak/replicas.py
+++ b/bench/soak/replicas.py
@@ -41,19 +41,19 @@
 
 
 class SoakReplica(Server):
-    """One replica; a life begins whenever it is started anew."""
+    """One replica; an incarnation begins whenever it is started anew."""
 
     def __init__(self, index: int, seed: int, seen: Observations) -> None:
         super().__init__()
         self.index = index
-        self.life = 0
+        self.incarnation = 0
         self.boot_ms = 0
         self._draws = random.Random(f"{seed}:replica {index}")
         self._observations = seen
 
     def restart(self) -> None:
-        """Begin a new life at the same address; connections of the old one are reset."""
-        self.life += 1
+        """Begin a new incarnation at the same address; connections of the old one are reset."""
+        self.incarnation += 1
         self.boot_ms = int(time.time() * 1000)
         self.reset_connections()
 
@@ -66,23 +66,23 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
         parser = RequestParser(MAX_REQUEST_SIZE)
-        life = self.life
+        incarnation = self.incarnation
         try:
             while data := await reader.read(READ_SIZE):
                 for piece in parser.feed(data):
                     if isinstance(piece, RequestHead):
-                        attempt = self._record(piece, life)
+                        attempt = self._record(piece, incarnation)
                         await self._answer(attempt, writer)
         except (ConnectionError, asyncio.CancelledError):
             pass  # the end of the connection, or of the run
         finally:
             writer.transport.abort()
 
-    def _record(self, head: RequestHead, life: int) -> AttemptSeen:
+    def _record(self, head: RequestHead, incarnation: int) -> AttemptSeen:
         attempt = AttemptSeen(
             request_id=head.headers.get("req-id"),
             replica=self.index,
-            replica_life=life,
+            replica_incarnation=incarnation,
             began_at=time.monotonic(),
             deadline_ms=int(head.headers.get("req-deadline-ms", "0")),
         )
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -63,7 +63,7 @@
     def _clients(self) -> list[SoakClient]:
         seed, seen = self._schedule.seed, self._seen
         return [
-            SoakClient(f"{gateway.index:02x}{number:06x}", seed, seen, partial(getattr, gateway, "life"))
+            SoakClient(f"{gateway.index:02x}{number:06x}", seed, seen, partial(getattr, gateway, "process"))
             for gateway in self._gateways
             for number in range(CLIENTS)
         ]
@@ -73,7 +73,7 @@
         for gateway in self._gateways:
             for _ in range(self._schedule.crowd):
                 with suppress(OSError):
-                    _, writer = await asyncio.open_connection("127.0.0.1", gateway.life.port)
+                    _, writer = await asyncio.open_connection("127.0.0.1", gateway.process.port)
                     self._crowd.append(writer)
 
     async def _watch_clock(self) -> None:
@@ -114,7 +114,7 @@
     async def _take_out(self, step: Step) -> None:
         """Drain or remove a replica, and bring it back as a new process."""
         for discovery in self._discoveries:
-            discovery.life_ended(step.target)
+            discovery.incarnation_ended(step.target)
         self._list.set_state(step.target, "draining" if step.disturbance is Disturbance.DRAIN else "removed")
         await asyncio.sleep(step.duration)
         self._replicas[step.target].restart()
--- a/tests/bench/test_soak_judge.py
+++ b/tests/bench/test_soak_judge.py
@@ -27,9 +27,9 @@
 
 
 def notify_drain(
-    seen: Observations, before: float, replica: int = 2, life: int = 0, gateway: str = "g1.1"
+    seen: Observations, before: float, replica: int = 2, incarnation: int = 0, gateway: str = "g1.1"
 ) -> None:
-    seen.drains.append(DrainNotified(gateway, replica, life, seen.attempts[0].began_at - before))
+    seen.drains.append(DrainNotified(gateway, replica, incarnation, seen.attempts[0].began_at - before))
 
 
 def second_attempt(seen: Observations, **fields: bool) -> None:
@@ -56,7 +56,7 @@
     ("lost", "chat", lambda seen: replies_at_kill(seen, 0.8)),
     ("duplicate", "once", second_attempt),
     ("deadline", "chat", lambda seen: setattr(seen.attempts[0], "deadline_ms", 3101)),
-    ("gone client", "chat", lambda seen: setattr(seen.requests[ID], "left_at", 9.94)),
+    ("disconnected client", "chat", lambda seen: setattr(seen.requests[ID], "disconnected_at", 9.94)),
     ("late events", "chat", lambda seen: setattr(seen.requests[ID], "longest_event_delay", 0.36)),
     ("exit", "chat", lambda seen: seen.exits.append(GatewayExit("g1.1", 1, killed=False, after=1.0))),
     ("crash", "chat", lambda seen: seen.crashes.append("g1.1 ended with -11 by itself")),
@@ -65,14 +65,14 @@
     ("chat", lambda seen: None),
     ("chat", lambda seen: notify_drain(seen, 0.29)),
     ("chat", lambda seen: notify_drain(seen, 5.0, replica=3)),
-    ("chat", lambda seen: notify_drain(seen, 5.0, life=1)),
+    ("chat", lambda seen: notify_drain(seen, 5.0, incarnation=1)),
     ("chat", lambda seen: notify_drain(seen, 5.0, gateway="g2.1")),
     ("chat", lambda seen: reply(seen, ReplyKind.REJECTED, 13.5)),
     ("chat", lambda seen: replies_at_kill(seen, 0.7)),
     ("chat", second_attempt),
     ("once", lambda seen: second_attempt(seen, declined=True)),
     ("chat", lambda seen: setattr(seen.attempts[0], "deadline_ms", 3049)),
-    ("chat", lambda seen: setattr(seen.requests[ID], "left_at", 9.96)),
+    ("chat", lambda seen: setattr(seen.requests[ID], "disconnected_at", 9.96)),
     ("chat", lambda seen: setattr(seen.requests[ID], "longest_event_delay", 0.34)),
     ("chat", lambda seen: seen.exits.append(GatewayExit("g1.1", -9, killed=True, after=3.7))),
 ]
