A connection that gives way between two reads does not count as idle

Change: FairReader says when it gives way, and the connections of clients and of the batch front are not idle then.

--- a/lockspoke/batch/connection.py
+++ b/lockspoke/batch/connection.py
@@ -44,10 +44,15 @@
         # The listener closes connections that have never received anything first. The clients of this
         # front are few and known, so that none of them is closed before another.
         self.has_received = True
-        self.idle = True
+        self._between_requests = True
         self._parser = RequestParser(application.limits.file_size + FORM_OVERHEAD)
         self._pieces: list[MessagePart] = []
 
+    @property
+    def idle(self) -> bool:
+        """Whether the connection is between two requests."""
+        return self._between_requests and not self._reader.giving_way
+
     async def run(self) -> None:
         """Serve until the client or an error ends the connection."""
         with suppress(StreamClosedError, OSError):
@@ -60,11 +65,11 @@
                     return
                 if not isinstance(head, RequestHead):
                     continue
-                self.idle = False
+                self._between_requests = False
                 if not await self._serve(head):
                     await self._linger()
                     return
-                self.idle = True
+                self._between_requests = True
 
     async def _linger(self) -> None:
         """Read on for a while: a close with unread bytes resets the connection and loses the response."""
--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -66,6 +66,7 @@
         self.front = front
         self.stream = stream
         self.outgoing = OutgoingBuffer(stream)
+        self._reader = FairReader(stream)
         self.closed_by_timeout = asyncio.Event()
         self.opened_at = self.active_at = asyncio.get_running_loop().time()
         self.assembler = RequestAssembler()
@@ -84,6 +85,7 @@
         """Whether the connection is between two requests."""
         return (
             self.open_request is None
+            and not self._reader.giving_way
             and not self.pipelined
             and self.assembler.idle
             and not self.outgoing.unsent
@@ -104,9 +106,9 @@
                 self.front.core.client_disconnected(abandoned)
 
     async def _read(self) -> None:
-        reader, discarded = FairReader(self.stream), 0
+        discarded = 0
         while True:
-            data = await reader.read()
+            data = await self._reader.read()
             if self.phase is ConnectionPhase.SERVING:
                 self._receive(data)
                 continue
--- a/lockspoke/wire/tcp/fair_reader.py
+++ b/lockspoke/wire/tcp/fair_reader.py
@@ -14,8 +14,7 @@
 
     A read of bytes that the socket holds already does not wait, so a loop that reads a peer which sends as
     fast as it is read would keep the event loop for as long as that lasts. Other tasks run once the bytes of
-    a read have been processed: those that follow are in the kernel then, where checks for unread input see
-    them.
+    a read have been processed.
     """
 
     def __init__(self, stream: IOStream, size: int = READ_SIZE) -> None:
@@ -23,6 +22,9 @@
         self._stream = stream
         self._size = size
         self._was_ready = False  # whether the last read did not have to wait
+        # Whether other tasks are running before the next read. The stream may have read more from the kernel
+        # than the last read has returned: until the next one a connection must not count as idle.
+        self.giving_way = False
 
     async def read(self) -> bytes:
         """Return the next bytes.
@@ -31,7 +33,11 @@
             StreamClosedError: The connection has ended.
         """
         if self._was_ready:
-            await asyncio.sleep(0)
+            self.giving_way = True
+            try:
+                await asyncio.sleep(0)
+            finally:
+                self.giving_way = False
         reading = asyncio.ensure_future(self._stream.read_bytes(self._size, partial=True))
         self._was_ready = reading.done()
         return await reading
--- /dev/null
+++ b/tests/wire/tcp/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections below HTTP."""
--- /dev/null
+++ b/tests/wire/tcp/test_fair_reader.py
@@ -0,0 +1,80 @@
+"""Reads give way to other tasks, and only where they did not have to wait."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+from tornado.iostream import IOStream
+
+from lockspoke.core.core import Core
+from lockspoke.wire.clients.connection import ClientConnection, ConnectionOwner
+from lockspoke.wire.tcp.fair_reader import FairReader
+
+
+class ReadyStream:
+    """Holds bytes for ever: no read has to wait, unless it is told to."""
+
+    def __init__(self) -> None:
+        self.waiting: asyncio.Future[bytes] | None = None
+
+    def read_bytes(self, size: int, partial: bool) -> asyncio.Future[bytes]:
+        if self.waiting is not None:
+            return self.waiting
+        done: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+        done.set_result(b"x" * size)
+        return done
+
+
+def test_other_tasks_run_between_reads_of_bytes_that_are_there() -> None:
+    async def scenario() -> None:
+        stream = ReadyStream()
+        reader = FairReader(cast(IOStream, stream), 4)
+        turns: list[bool] = []  # whether the reader was giving way, in each turn of another task
+
+        async def other() -> None:
+            while len(turns) < 3:
+                turns.append(reader.giving_way)
+                await asyncio.sleep(0)
+
+        task = asyncio.ensure_future(other())
+        assert await reader.read() == b"xxxx"
+        assert not turns, "the first read is not delayed"
+        for _ in range(3):
+            await reader.read()
+        await task
+        assert turns == [True, True, True]
+        assert not reader.giving_way
+
+    asyncio.run(scenario())
+
+
+def test_a_read_that_waited_is_followed_by_one_at_once() -> None:
+    async def scenario() -> None:
+        stream = ReadyStream()
+        reader = FairReader(cast(IOStream, stream), 4)
+        stream.waiting = asyncio.get_running_loop().create_future()
+        reading = asyncio.ensure_future(reader.read())
+        await asyncio.sleep(0)
+        stream.waiting.set_result(b"late")
+        assert await reading == b"late"
+        stream.waiting = None
+        others: list[int] = []
+        asyncio.get_running_loop().call_soon(others.append, 1)
+        await reader.read()
+        assert not others
+
+    asyncio.run(scenario())
+
+
+def test_a_client_connection_that_gives_way_is_not_idle() -> None:
+    """Otherwise it could be closed over a request that the stream has read from the kernel already."""
+
+    async def scenario() -> None:
+        owner = cast(ConnectionOwner, cast(Core, None))
+        connection = ClientConnection(owner, cast(IOStream, ReadyStream()))
+        assert connection.idle
+        connection._reader.giving_way = True
+        assert not connection.idle
+
+    asyncio.run(scenario())
