--- a/tests/batch/gateway_probes.py
+++ b/tests/batch/gateway_probes.py
@@ -69,8 +69,8 @@
     def violations(self) -> list[str]:
         """The aims that were missed, each with what was measured.
 
-        A delay holds the lateness of the probing process itself, at its begin and at its end, which is not the
-        gateway's.
+        A delay holds the lateness of the probing process itself, at its begin and at its end, which is not
+        the gateway's.
         """
         found = list(self.faults)
         own = 2 * max(self.own_delays, default=0.0)
