--- a/tests/wire/clients/test_flood.py
+++ b/tests/wire/clients/test_flood.py
@@ -66,6 +66,7 @@
     async def scenario() -> None:
         async with running() as program:
             await until(lambda: program.log("operators_listening") is not None)
+            await until(lambda: program.log("batch_listening") is not None)
             operators = program.log("operators_listening")["port"]  # type: ignore[index]  # awaited above
             for port in (program.port, batch_port(program), operators):
                 await flood(program, port)
