--- a/tests/inventory/test_source.py
+++ b/tests/inventory/test_source.py
@@ -322,6 +322,7 @@
         place(path, rows(*fleet[:4]))
         await until(decided(program, "guard", ""))
         status = keep / "inventory.status.json"
+        await until(status.exists)  # it is written once the decision has been logged
         await until(lambda: json.loads(status.read_text())["guard"] is not None)
         fingerprint = json.loads(status.read_text())["guard"]["accept"]
         assert lockspoke(["inventory", "accept", fingerprint, "--keep", str(keep)]) == 0
--- a/tests/lifecycle/test_reload.py
+++ b/tests/lifecycle/test_reload.py
@@ -28,11 +28,14 @@
         second.change(new)
         async with Program(old, discovery=first) as program, Client(program.port) as client:
             assert (await client.request(request_bytes(1)))[0] == 200
+            # The first answer of discovery is logged, too, and on a busy machine that may be later.
+            await until(lambda: program.log("endpoint_list_changed") is not None)
             for bad in ("{", '{"settings": {"profiles": 5}}', '{"limits": {"sockets": "x"}}'):
                 program.raw_logs.clear()
                 program.reload(bad)
                 await until(lambda: "reload_rejected" in "".join(program.raw_logs))
-                assert len(program.raw_logs) == 1  # one line for any fault
+                lines = [line for line in program.raw_logs if '"event_loop_late"' not in line]
+                assert len(lines) == 1  # one line for any fault
             address = f"127.0.0.1:{second.port}"
             moved: dict[str, Any] = {"discovery": address, "limits": {"memory_mb": 64, "sockets": 300}}
             program.reload(**moved)
