--- a/lockspoke/batch/connection.py
+++ b/lockspoke/batch/connection.py
@@ -13,6 +13,7 @@
 from lockspoke.wire.http.encoding import encode_head, encode_response
 from lockspoke.wire.http.messages import HttpError, MessagePart, RequestHead
 from lockspoke.wire.http.request_parser import RequestParser
+from lockspoke.wire.tcp.close_reason import CloseReason
 from lockspoke.wire.tcp.fair_reader import FairReader
 
 from .application import BatchApplication
@@ -44,6 +45,7 @@
         # The listener closes connections that have never received anything first. The clients of this
         # front are few and known, so that none of them is closed before another.
         self.has_received = True
+        self.close_reason: CloseReason | None = None
         self._between_requests = True
         self._parser = RequestParser(application.limits.file_size + FORM_OVERHEAD)
         self._pieces: list[MessagePart] = []
--- a/lockspoke/batch/front.py
+++ b/lockspoke/batch/front.py
@@ -10,7 +10,8 @@
 
 from tornado.iostream import IOStream
 
-from lockspoke.wire.tcp.listener import Listener
+from lockspoke.wire.tcp.close_reason import CloseReason
+from lockspoke.wire.tcp.listener import Listener, close
 
 from .application import BatchApplication
 from .connection import BatchConnection
@@ -51,7 +52,7 @@
         stalled_since = asyncio.get_running_loop().time() - STALL_TIMEOUT
         for connection in list(self.listener.connections):
             if not connection.idle and connection.active_at < stalled_since:
-                connection.stream.close()
+                close(connection, CloseReason.STALLED)
 
     def start_draining(self) -> None:
         """Close each connection after its current response."""
--- a/lockspoke/core/core.py
+++ b/lockspoke/core/core.py
@@ -26,6 +26,7 @@
 from .interfaces import Clock, Discovery
 from .replica_set import Replica, ReplicaListUpdate, ReplicaSet, ReplicaSetChange
 from .request_lifecycle import RequestLifecycle
+from .request_log import RequestLog
 from .requests import Attempt, ClientRequest
 from .stream_supervision import StreamSupervision
 from .totals import RequestOutcome, Totals
@@ -53,7 +54,7 @@
         self.clock = clock
         self.transport = transport
         self.discovery = discovery
-        self.request_lifecycle = RequestLifecycle()
+        self.request_lifecycle = RequestLifecycle(RequestLog(clock))
         self.requests = self.request_lifecycle.open_requests
         executor = ActionExecutor(
             self.balancer, self.request_lifecycle, replica_set, clock, transport, discovery
--- a/lockspoke/core/request_lifecycle.py
+++ b/lockspoke/core/request_lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .request_log import RequestLog
 from .requests import ClientRequest
 from .totals import RequestOutcome, Totals
 
@@ -9,7 +10,8 @@
 class RequestLifecycle:
     """The open requests of this gateway."""
 
-    def __init__(self) -> None:
+    def __init__(self, log: RequestLog) -> None:
+        self._log = log
         # By number. An answered request stays until its last attempt has ended.
         self.open_requests: dict[int, ClientRequest] = {}
         self.totals = Totals()
@@ -29,6 +31,7 @@
         """Mark an unanswered request as answered. The caller writes the response after this."""
         request.answered = True
         self.totals.request_outcomes[outcome] += 1
+        self._log.completed(request, outcome)
         self.forget_if_finished(request)
 
     def reject_or_fail(self, request: ClientRequest) -> None:
--- a/lockspoke/lifecycle/periodic_checks.py
+++ b/lockspoke/lifecycle/periodic_checks.py
@@ -37,6 +37,7 @@
             if time.monotonic() - totals_logged_at >= TOTALS_INTERVAL:
                 totals_logged_at = time.monotonic()
                 log_totals(self._gateway, lateness)
+                log_client_counts(self._gateway)
                 return_free_memory()
             starting = state.phase is ProgramPhase.STARTING
             await lateness.sleep(STARTING_CHECK_INTERVAL if starting else CHECK_INTERVAL)
@@ -70,3 +71,10 @@
         **gateway.core.totals.log_fields(),
         **({} if lateness is None else lateness.take_log_fields()),
     )
+
+
+def log_client_counts(gateway: Gateway) -> None:
+    """Log how the connections of clients have ended since the start, and what the front itself responded."""
+    closes = {f"closed_{reason.value}": count for reason, count in gateway.clients.listener.closes.items()}
+    responses = {f"status_{status}": count for status, count in gateway.clients.own_responses.items()}
+    log.info("client_counts", **closes, **responses)
--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Protocol
 
+import structlog
 from tornado.iostream import IOStream, StreamClosedError
 
 from lockspoke.core.core import Core
@@ -16,8 +17,9 @@
 from lockspoke.wire.http.encoding import encode_head
 from lockspoke.wire.http.messages import HttpError, Request
 from lockspoke.wire.http.request_assembler import RequestAssembler
+from lockspoke.wire.tcp.close_reason import CloseReason
 from lockspoke.wire.tcp.fair_reader import FairReader
-from lockspoke.wire.tcp.listener import close_if_quiet
+from lockspoke.wire.tcp.listener import close, close_if_quiet
 from lockspoke.wire.tcp.outgoing import OutgoingBuffer
 
 from .admission import AdmissionMode
@@ -38,6 +40,9 @@
 MOVED_RETRY_AFTER = 50 * MILLISECOND  # advice when a new connection leads to another instance
 
 
+log = structlog.get_logger()
+
+
 class ConnectionPhase(Enum):
     """How far a client's connection is from its end."""
 
@@ -56,6 +61,7 @@
     open_ids: set[str]  # ids of requests whose response has not ended
     buffered_bytes: int  # of requests, complete or not, on all connections
     max_buffered_bytes: int
+    own_responses: Counter[int]  # responses that no replica made, by status
     is_ready: Callable[[], bool]
 
 
@@ -74,6 +80,7 @@
         self.pipelined: deque[ReceivedRequest | HttpError] = deque()  # to be answered in this order
         self.open_request: ClientRequest | None = None  # submitted to the core, not answered yet
         self.has_received = False  # whether a byte has ever arrived
+        self.close_reason: CloseReason | None = None
         self.phase = ConnectionPhase.SERVING
         # Set once the service address of the connection has moved to another instance.
         self.closes_after_response = False
@@ -103,6 +110,10 @@
                 0
             )  # after the release, so that the request's own bytes are not counted any more
             if abandoned is not None:
+                if self.close_reason is not None:
+                    log.error(
+                        "request_dropped", request_id=abandoned.request_id, reason=self.close_reason.value
+                    )
                 self.front.core.client_disconnected(abandoned)
 
     async def _read(self) -> None:
@@ -126,10 +137,10 @@
         flushed_at = self.outgoing.ended_at  # a slow client that still takes its response is not timed
         lingered = flushed_at is not None and now - flushed_at > LINGER_SECONDS
         if lingered or self.outgoing.stalled(now, STALL_TIMEOUT_SECONDS):
-            self.stream.close()
+            close(self, CloseReason.RESPONDED if lingered else CloseReason.STALLED)
             self.closed_by_timeout.set()
         elif not self.has_received and now - self.opened_at > FIRST_BYTE_TIMEOUT_SECONDS:
-            close_if_quiet(self)
+            close_if_quiet(self, CloseReason.NO_REQUEST)
         elif self._is_amid_request() and now - self.active_at > REQUEST_TIMEOUT_SECONDS:
             self._reject_and_close(HttpError(408, "request took too long"))
 
@@ -258,12 +269,14 @@
         """Send a complete response, then go on with the next request or close."""
         keep_alive = self.stays_open_after(request)
         method = request.head.method
+        self.front.own_responses[status] += 1
         self.outgoing.write(encode_text_response(status, text, keep_alive, headers=headers, method=method))
         self.response_finished(keep_alive)
 
     def _reject_and_close(self, error: HttpError) -> None:
         """Send an error as the last response: where the next message begins is not known any more."""
         headers = retry_after_header(OVERLOAD_RETRY_AFTER) if error.status == 503 else None
+        self.front.own_responses[error.status] += 1
         self.outgoing.write(encode_text_response(error.status, str(error), keep_alive=False, headers=headers))
         self.active_at = asyncio.get_running_loop().time()
         self._close_gracefully()
--- a/lockspoke/wire/operators/front.py
+++ b/lockspoke/wire/operators/front.py
@@ -11,8 +11,9 @@
 from lockspoke.wire.http.encoding import encode_response
 from lockspoke.wire.http.messages import HttpError, Request
 from lockspoke.wire.http.request_assembler import RequestAssembler
+from lockspoke.wire.tcp.close_reason import CloseReason
 from lockspoke.wire.tcp.fair_reader import FairReader
-from lockspoke.wire.tcp.listener import Listener
+from lockspoke.wire.tcp.listener import Listener, close
 
 from .api import OperatorRequest, decode_operator_request
 
@@ -42,7 +43,7 @@
         before = asyncio.get_running_loop().time() - timeout
         for connection in list(self.listener.connections):
             if connection.opened_at < before:
-                connection.stream.close()
+                close(connection, CloseReason.STALLED)
 
 
 class OperatorConnection:
@@ -52,6 +53,7 @@
         self.stream = stream
         self.opened_at = self.active_at = asyncio.get_running_loop().time()
         self.has_received = False
+        self.close_reason: CloseReason | None = None
         self._handler = handler
         self._assembler = RequestAssembler()
 
--- a/lockspoke/wire/tcp/listener.py
+++ b/lockspoke/wire/tcp/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from typing import Any, Generic, Protocol, TypeVar
 
@@ -11,6 +12,7 @@
 from tornado.iostream import IOStream
 from tornado.netutil import add_accept_handler, bind_sockets
 
+from .close_reason import CloseReason
 from .closing import is_quiet
 
 BACKLOG = 1024  # connections that the kernel queues
@@ -28,6 +30,7 @@
     stream: IOStream
     active_at: float  # seconds of the event loop's clock
     has_received: bool
+    close_reason: CloseReason | None  # why this gateway closed it; None while it has not
 
     @property
     def idle(self) -> bool:
@@ -40,7 +43,14 @@
 ConnectionT = TypeVar("ConnectionT", bound=Connection)
 
 
-def close_if_quiet(connection: Connection) -> bool:
+def close(connection: Connection, reason: CloseReason) -> None:
+    """Close a connection for a reason; the first reason counts."""
+    if not connection.stream.closed():
+        connection.close_reason = connection.close_reason or reason
+        connection.stream.close()
+
+
+def close_if_quiet(connection: Connection, reason: CloseReason) -> bool:
     """Close an idle connection, unless its next request has come: that one is still answered.
 
     Returns:
@@ -48,7 +58,7 @@
     """
     quiet = is_quiet(connection.stream)
     if quiet:
-        connection.stream.close()
+        close(connection, reason)
     return quiet
 
 
@@ -59,12 +69,14 @@
         max_connections: The limit; one more is open while an idle connection is looked for.
         connections: The connections that have not ended.
         last_accept: When a connection was last accepted, in seconds of the event loop's clock.
+        closes: How many connections have ended, by reason.
     """
 
     def __init__(self, create_connection: Callable[[IOStream], ConnectionT], max_connections: int) -> None:
         self.max_connections = max_connections
         self.connections: set[ConnectionT] = set()
         self.last_accept = 0.0
+        self.closes: Counter[CloseReason] = Counter()
         self._create_connection = create_connection
         self._limit_logged_at = -LIMIT_WARNING_INTERVAL_SECONDS
         self._tasks: set[asyncio.Task[None]] = set()
@@ -109,7 +121,7 @@
         idle = [one for one in self.connections if one.idle and one.active_at < before]
         # Those that never sent a byte go first: hundreds of them must not displace active clients.
         idle.sort(key=lambda one: (one.has_received, one.active_at))
-        return any(close_if_quiet(one) for one in idle)
+        return any(close_if_quiet(one, CloseReason.DISPLACED) for one in idle)
 
     def enforce_limit(self) -> None:
         """Past the limit, close a connection that has become idle since."""
@@ -147,7 +159,8 @@
     def _connection_ended(self, connection: ConnectionT, task: asyncio.Task[None]) -> None:
         self.connections.discard(connection)
         self._tasks.discard(task)
-        connection.stream.close()
+        close(connection, CloseReason.PEER)
+        self.closes[connection.close_reason or CloseReason.PEER] += 1
         if not task.cancelled() and task.exception() is not None:
             log.error("connection_failed", error=repr(task.exception()))
         self._start_accepting()
@@ -157,12 +170,12 @@
         before = asyncio.get_running_loop().time() - idle_seconds
         for connection in list(self.connections):
             if connection.idle and connection.active_at <= before:
-                close_if_quiet(connection)
+                close_if_quiet(connection, CloseReason.IDLE)
 
     def close_all(self) -> None:
         """Close every connection."""
         for connection in list(self.connections):
-            connection.stream.close()
+            close(connection, CloseReason.STOPPED)
 
     def stop(self) -> None:
         """Accept the connections in the kernel's queue, then stop listening."""
