A connection whose finished read has not been processed does not count as idle

Cause: the event loop finishes a read in one turn, and the task that parses it runs in the next. In between the connection looked idle (nothing parsed) and quiet (nothing left in the kernel), and an accept at the limit, in the same turn, closed it. The task then submitted the request on a closed connection. Class: a check that sees only two of the three places where input can lie. Change: FairReader.has_unread covers a finished read; one check, FairReader.is_quiet, decides for the clients', batch and operators' connections, and the operators' timeout asks it, too.

--- a/lockspoke/batch/connection.py
+++ b/lockspoke/batch/connection.py
@@ -40,7 +40,7 @@
     def __init__(self, application: BatchApplication, stream: IOStream) -> None:
         self.application = application
         self.stream = stream
-        self._reader = FairReader(stream)
+        self.reader = FairReader(stream)
         self.opened_at = self.active_at = asyncio.get_running_loop().time()
         # The listener closes connections that have never received anything first. The clients of this
         # front are few and known, so that none of them is closed before another.
@@ -53,7 +53,7 @@
     @property
     def idle(self) -> bool:
         """Whether the connection is between two requests."""
-        return self._between_requests and not self._reader.giving_way
+        return self._between_requests and not self.reader.has_unread
 
     async def run(self) -> None:
         """Serve until the client or an error ends the connection."""
@@ -79,11 +79,11 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(LINGER_TIMEOUT):
                 while True:
-                    await self._reader.read()
+                    await self.reader.read()
 
     async def _next_piece(self) -> MessagePart:
         while not self._pieces:
-            data = await self._reader.read()
+            data = await self.reader.read()
             self._mark_active()
             self._pieces = self._parser.feed(data)
         return self._pieces.pop(0)
--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -72,7 +72,7 @@
         self.front = front
         self.stream = stream
         self.outgoing = OutgoingBuffer(stream)
-        self._reader = FairReader(stream)
+        self.reader = FairReader(stream)
         self.closed_by_timeout = asyncio.Event()
         self.opened_at = self.active_at = asyncio.get_running_loop().time()
         self.assembler = RequestAssembler()
@@ -92,7 +92,7 @@
         """Whether the connection is between two requests."""
         return (
             self.open_request is None
-            and not self._reader.giving_way
+            and not self.reader.has_unread
             and not self.pipelined
             and self.assembler.idle
             and not self.outgoing.unsent
@@ -119,7 +119,7 @@
     async def _read(self) -> None:
         discarded = 0
         while True:
-            data = await self._reader.read()
+            data = await self.reader.read()
             if self.phase is ConnectionPhase.SERVING:
                 self._receive(data)
                 continue
--- a/lockspoke/wire/operators/front.py
+++ b/lockspoke/wire/operators/front.py
@@ -42,7 +42,7 @@
         timeout = CROWDED_CONNECTION_TIMEOUT_SECONDS if crowded else CONNECTION_TIMEOUT_SECONDS
         before = asyncio.get_running_loop().time() - timeout
         for connection in list(self.listener.connections):
-            if connection.opened_at < before:
+            if connection.opened_at < before and not connection.reader.has_unread:
                 close(connection, CloseReason.STALLED)
 
 
@@ -51,6 +51,7 @@
 
     def __init__(self, handler: OperatorHandler, stream: IOStream) -> None:
         self.stream = stream
+        self.reader = FairReader(stream, READ_SIZE)
         self.opened_at = self.active_at = asyncio.get_running_loop().time()
         self.has_received = False
         self.close_reason: CloseReason | None = None
@@ -75,9 +76,8 @@
         return encode_response(status, f"{text}\n".encode(), TEXT_HEADERS, keep_alive=False)
 
     async def _read_request(self) -> Request:
-        reader = FairReader(self.stream, READ_SIZE)
         while True:
-            data = await reader.read()
+            data = await self.reader.read()
             self.has_received = True
             requests = self._assembler.feed(data)
             if requests:
--- a/lockspoke/wire/tcp/fair_reader.py
+++ b/lockspoke/wire/tcp/fair_reader.py
@@ -6,7 +6,9 @@
 
 from tornado.iostream import IOStream
 
-from .listener import READ_SIZE
+from .closing import is_quiet
+
+READ_SIZE = 16 * 1024  # bytes
 
 
 class FairReader:
@@ -23,8 +25,22 @@
         self._size = size
         self._was_ready = False  # whether the last read did not have to wait
         # Whether other tasks are running before the next read. The stream may have read more from the kernel
-        # than the last read has returned: until the next one a connection must not count as idle.
+        # than the last read has returned.
         self.giving_way = False
+        self._reading: asyncio.Future[bytes] | None = None  # while `read` waits for it
+
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes may have been read from the kernel that `read` has not returned.
+
+        The event loop finishes a read in one turn, and the task that waits for it runs in the next.
+        """
+        return self.giving_way or (self._reading is not None and self._reading.done())
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the connection is open, and no bytes of it wait here or in the kernel."""
+        return not self.has_unread and is_quiet(self._stream)
 
     async def read(self) -> bytes:
         """Return the next bytes.
@@ -38,6 +54,9 @@
                 await asyncio.sleep(0)
             finally:
                 self.giving_way = False
-        reading = asyncio.ensure_future(self._stream.read_bytes(self._size, partial=True))
-        self._was_ready = reading.done()
-        return await reading
+        self._reading = asyncio.ensure_future(self._stream.read_bytes(self._size, partial=True))
+        self._was_ready = self._reading.done()
+        try:
+            return await self._reading
+        finally:
+            self._reading = None
--- a/lockspoke/wire/tcp/listener.py
+++ b/lockspoke/wire/tcp/listener.py
@@ -13,10 +13,9 @@
 from tornado.netutil import add_accept_handler, bind_sockets
 
 from .close_reason import CloseReason
-from .closing import is_quiet
+from .fair_reader import READ_SIZE, FairReader
 
 BACKLOG = 1024  # connections that the kernel queues
-READ_SIZE = 16 * 1024  # bytes
 MAX_STREAM_BUFFER = 1024 * 1024  # bytes
 LIMIT_WARNING_INTERVAL_SECONDS = 10.0  # at least, between two log lines about the limit
 NEW_CONNECTION_GRACE_SECONDS = 0.25  # for which a new connection does not count as idle
@@ -28,6 +27,7 @@
     """A client's connection, as the listener needs it."""
 
     stream: IOStream
+    reader: FairReader
     active_at: float  # seconds of the event loop's clock
     has_received: bool
     close_reason: CloseReason | None  # why this gateway closed it; None while it has not
@@ -56,7 +56,7 @@
     Returns:
         Whether the connection was closed.
     """
-    quiet = is_quiet(connection.stream)
+    quiet = connection.reader.is_quiet
     if quiet:
         close(connection, reason)
     return quiet
--- a/tests/lifecycle/test_requests_on_idle_connections.py
+++ b/tests/lifecycle/test_requests_on_idle_connections.py
@@ -1,4 +1,4 @@
-"""A request that arrives in the moment in which its idle connection is to be closed is answered or left unread."""
+"""A request that arrives as its idle connection is about to be closed is answered, or left unread."""
 
 from __future__ import annotations
 
--- a/tests/wire/tcp/test_fair_reader.py
+++ b/tests/wire/tcp/test_fair_reader.py
@@ -74,7 +74,7 @@
         owner = cast(ConnectionOwner, cast(Core, None))
         connection = ClientConnection(owner, cast(IOStream, ReadyStream()))
         assert connection.idle
-        connection._reader.giving_way = True
+        connection.reader.giving_way = True
         assert not connection.idle
 
     asyncio.run(scenario())
