Accepting at the limit takes a few connections a turn, and one pass over all for many

Cause: each accept at the limit looked at every open connection (idle, closed), and up to 128 accepts ran in one turn of the event loop, before streams, discovery and timers. Class: work in one turn that grows with the number of peers. Change: 16 accepts a turn (Acceptor); one pass over all connections at most each 50 ms, whose order serves the accepts that follow (IdleOrder). A connection closed for a new one is counted, no longer looked for.

--- a/lockspoke/address/connections.py
+++ b/lockspoke/address/connections.py
@@ -9,8 +9,8 @@
 from lockspoke.core.core import Core
 from lockspoke.wire.clients.connection import ClientConnection
 from lockspoke.wire.clients.front import ClientFront
+from lockspoke.wire.tcp.accepted_connection import close_if_quiet
 from lockspoke.wire.tcp.close_reason import CloseReason
-from lockspoke.wire.tcp.listener import close_if_quiet
 
 IDLE_BEFORE_CLOSE = 0.3  # seconds that a connection has to be idle before it is closed
 DRAIN_POLL_INTERVAL = 0.05  # seconds
--- a/lockspoke/batch/front.py
+++ b/lockspoke/batch/front.py
@@ -10,8 +10,9 @@
 
 from tornado.iostream import IOStream
 
+from lockspoke.wire.tcp.accepted_connection import close
 from lockspoke.wire.tcp.close_reason import CloseReason
-from lockspoke.wire.tcp.listener import Listener, close
+from lockspoke.wire.tcp.listener import Listener
 
 from .application import BatchApplication
 from .connection import BatchConnection
--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -17,9 +17,9 @@
 from lockspoke.wire.http.encoding import encode_head
 from lockspoke.wire.http.messages import HttpError, Request
 from lockspoke.wire.http.request_assembler import RequestAssembler
+from lockspoke.wire.tcp.accepted_connection import close, close_if_quiet
 from lockspoke.wire.tcp.close_reason import CloseReason
 from lockspoke.wire.tcp.fair_reader import FairReader
-from lockspoke.wire.tcp.listener import close, close_if_quiet
 from lockspoke.wire.tcp.outgoing import OutgoingBuffer
 
 from .admission import AdmissionMode
--- a/lockspoke/wire/operators/front.py
+++ b/lockspoke/wire/operators/front.py
@@ -11,9 +11,10 @@
 from lockspoke.wire.http.encoding import encode_response
 from lockspoke.wire.http.messages import HttpError, Request
 from lockspoke.wire.http.request_assembler import RequestAssembler
+from lockspoke.wire.tcp.accepted_connection import close
 from lockspoke.wire.tcp.close_reason import CloseReason
 from lockspoke.wire.tcp.fair_reader import FairReader
-from lockspoke.wire.tcp.listener import Listener, close
+from lockspoke.wire.tcp.listener import Listener
 
 from .api import OperatorRequest, decode_operator_request
 
--- /dev/null
+++ b/lockspoke/wire/tcp/accepted_connection.py
@@ -0,0 +1,47 @@
+"""A connection that a listener has accepted, and the ways to close it."""
+
+from __future__ import annotations
+
+from collections.abc import Coroutine
+from typing import Any, Protocol
+
+from tornado.iostream import IOStream
+
+from .close_reason import CloseReason
+from .fair_reader import FairReader
+
+
+class AcceptedConnection(Protocol):
+    """A client's connection, as its listener needs it."""
+
+    stream: IOStream
+    reader: FairReader
+    active_at: float  # seconds of the event loop's clock
+    has_received: bool
+    close_reason: CloseReason | None  # why this gateway closed it; None while it has not
+
+    @property
+    def idle(self) -> bool:
+        """Whether the connection is between two requests."""
+
+    def run(self) -> Coroutine[Any, Any, None]:
+        """Serve until the connection ends."""
+
+
+def close(connection: AcceptedConnection, reason: CloseReason) -> None:
+    """Close a connection for a reason; the first reason counts."""
+    if not connection.stream.closed():
+        connection.close_reason = connection.close_reason or reason
+        connection.stream.close()
+
+
+def close_if_quiet(connection: AcceptedConnection, reason: CloseReason) -> bool:
+    """Close an idle connection, unless its next request has come: that one is still answered.
+
+    Returns:
+        Whether the connection was closed.
+    """
+    quiet = connection.reader.is_quiet
+    if quiet:
+        close(connection, reason)
+    return quiet
--- a/lockspoke/wire/tcp/listener.py
+++ b/lockspoke/wire/tcp/listener.py
@@ -5,61 +5,26 @@
 import asyncio
 import socket
 from collections import Counter
-from collections.abc import Callable, Coroutine
-from typing import Any, Generic, Protocol, TypeVar
+from collections.abc import Callable
+from typing import Generic, TypeVar
 
 import structlog
 from tornado.iostream import IOStream
-from tornado.netutil import add_accept_handler, bind_sockets
+from tornado.netutil import bind_sockets
 
+from .accepted_connection import AcceptedConnection, close, close_if_quiet
+from .acceptor import Acceptor
 from .close_reason import CloseReason
-from .fair_reader import READ_SIZE, FairReader
+from .fair_reader import READ_SIZE
+from .idle_order import SCAN_INTERVAL_SECONDS, IdleOrder
 
 BACKLOG = 1024  # connections that the kernel queues
 MAX_STREAM_BUFFER = 1024 * 1024  # bytes
 LIMIT_WARNING_INTERVAL_SECONDS = 10.0  # at least, between two log lines about the limit
-NEW_CONNECTION_GRACE_SECONDS = 0.25  # for which a new connection does not count as idle
 
 log = structlog.get_logger()
 
-
-class Connection(Protocol):
-    """A client's connection, as the listener needs it."""
-
-    stream: IOStream
-    reader: FairReader
-    active_at: float  # seconds of the event loop's clock
-    has_received: bool
-    close_reason: CloseReason | None  # why this gateway closed it; None while it has not
-
-    @property
-    def idle(self) -> bool:
-        """Whether the connection is between two requests."""
-
-    def run(self) -> Coroutine[Any, Any, None]:
-        """Serve until the connection ends."""
-
-
-ConnectionT = TypeVar("ConnectionT", bound=Connection)
-
-
-def close(connection: Connection, reason: CloseReason) -> None:
-    """Close a connection for a reason; the first reason counts."""
-    if not connection.stream.closed():
-        connection.close_reason = connection.close_reason or reason
-        connection.stream.close()
-
-
-def close_if_quiet(connection: Connection, reason: CloseReason) -> bool:
-    """Close an idle connection, unless its next request has come: that one is still answered.
-
-    Returns:
-        Whether the connection was closed.
-    """
-    quiet = connection.reader.is_quiet
-    if quiet:
-        close(connection, reason)
-    return quiet
+ConnectionT = TypeVar("ConnectionT", bound=AcceptedConnection)
 
 
 class Listener(Generic[ConnectionT]):
@@ -78,10 +43,11 @@
         self.last_accept = 0.0
         self.closes: Counter[CloseReason] = Counter()
         self._create_connection = create_connection
+        self._idle_order = IdleOrder(self.connections)
+        self._displaced: set[ConnectionT] = set()  # closed for new ones; their tasks have not ended
         self._limit_logged_at = -LIMIT_WARNING_INTERVAL_SECONDS
         self._tasks: set[asyncio.Task[None]] = set()
-        self._socket: socket.socket | None = None
-        self._remove_accept_handler: Callable[[], None] | None = None  # None while not accepting
+        self._acceptor: Acceptor | None = None  # None while not listening
 
     def listen(self, address: tuple[str, int], shared: bool = False) -> tuple[str, int]:
         """Start to listen; return the address, whose port the kernel may have picked.
@@ -90,48 +56,39 @@
             address: Host and port; port 0 for any.
             shared: Whether another process, such as a new version, may listen at the same address.
         """
-        self._socket = bind_sockets(address[1], address[0], backlog=BACKLOG, reuse_port=shared)[0]
+        listening = bind_sockets(address[1], address[0], backlog=BACKLOG, reuse_port=shared)[0]
+        self._acceptor = Acceptor(listening, self.serve_accepted)
         self._start_accepting()
-        host, port = self._socket.getsockname()[:2]
+        host, port = listening.getsockname()[:2]
         return host, port
 
     def _start_accepting(self) -> None:
-        """Start to accept, unless it does already, is not listening, or is past the limit."""
-        if self._socket is None or self._remove_accept_handler is not None:
-            return
-        if self._open_count() <= self.max_connections:
-            self._remove_accept_handler = add_accept_handler(self._socket, self._handle_accept)
-
-    def _stop_accepting(self) -> None:
-        if self._remove_accept_handler is not None:
-            self._remove_accept_handler()
-            self._remove_accept_handler = None
+        """Start to accept, unless it is not listening, or is past the limit."""
+        if self._acceptor is not None and self._open_count <= self.max_connections:
+            self._acceptor.resume()
 
+    @property
     def _open_count(self) -> int:
-        return sum(not connection.stream.closed() for connection in self.connections)
+        return len(self.connections) - len(self._displaced)
 
     def _close_longest_idle(self) -> bool:
-        """Close the connection that is idle for longest: its client can open another one.
+        """Close an idle connection for a new one.
 
         Returns:
             Whether a connection was closed; not where none is idle.
         """
-        # Not a connection that has just been accepted: its first request may be on its way.
-        before = asyncio.get_running_loop().time() - NEW_CONNECTION_GRACE_SECONDS
-        idle = [one for one in self.connections if one.idle and one.active_at < before]
-        # Those that never sent a byte go first: hundreds of them must not displace active clients.
-        idle.sort(key=lambda one: (one.has_received, one.active_at))
-        return any(close_if_quiet(one, CloseReason.DISPLACED) for one in idle)
+        closed = self._idle_order.close_first(asyncio.get_running_loop().time())
+        if closed is None:
+            return False
+        self._displaced.add(closed)
+        return True
 
     def enforce_limit(self) -> None:
         """Past the limit, close a connection that has become idle since."""
-        paused = self._socket is not None and self._remove_accept_handler is None
-        if paused and self._open_count() > self.max_connections:
+        paused = self._acceptor is not None and self._acceptor.paused
+        if paused and self._open_count > self.max_connections:
             self._close_longest_idle()
 
-    def _handle_accept(self, accepted: socket.socket, _address: object) -> None:
-        self.serve_accepted(accepted)
-
     def serve_accepted(self, accepted: socket.socket) -> ConnectionT:
         """Serve a connection that was accepted, here or by another listener for the same front."""
         self.last_accept = asyncio.get_running_loop().time()
@@ -143,21 +100,23 @@
         task = asyncio.ensure_future(connection.run())
         self._tasks.add(task)
         task.add_done_callback(lambda done: self._connection_ended(connection, done))
-        if self._open_count() > self.max_connections and not self._close_longest_idle():
+        if self._open_count > self.max_connections and not self._close_longest_idle():
             self._pause_at_limit()
         return connection
 
     def _pause_at_limit(self) -> None:
         """Stop accepting until a connection ends; new ones wait in the kernel's queue."""
-        if self._remove_accept_handler is None:
+        if self._acceptor is None or self._acceptor.paused:
             return
         if self.last_accept - self._limit_logged_at > LIMIT_WARNING_INTERVAL_SECONDS:
             self._limit_logged_at = self.last_accept
             log.warning("clients_at_limit", connections=len(self.connections))
-        self._stop_accepting()
+        self._acceptor.pause()
+        asyncio.get_running_loop().call_later(SCAN_INTERVAL_SECONDS, self.enforce_limit)
 
     def _connection_ended(self, connection: ConnectionT, task: asyncio.Task[None]) -> None:
         self.connections.discard(connection)
+        self._displaced.discard(connection)
         self._tasks.discard(task)
         close(connection, CloseReason.PEER)
         self.closes[connection.close_reason or CloseReason.PEER] += 1
@@ -179,15 +138,11 @@
 
     def stop(self) -> None:
         """Accept the connections in the kernel's queue, then stop listening."""
-        if self._socket is None:
+        if self._acceptor is None:
             return
-        self._stop_accepting()
+        acceptor, self._acceptor = self._acceptor, None
+        acceptor.pause()
         # A client may already have written a request to a connection in the queue.
-        while self._open_count() <= self.max_connections:
-            try:
-                accepted, _ = self._socket.accept()
-            except OSError:
-                break
+        while self._open_count <= self.max_connections and (accepted := acceptor.accept()) is not None:
             self.serve_accepted(accepted)
-        self._socket.close()
-        self._socket = None
+        acceptor.close()
