Accept: errors of one connection are passed over, shortages are waited for

What callers saw: where accept failed at a stop, the connections behind it in the kernel's queue were reset, with requests already written. While it served, every failure was an exception out of an event loop callback, and one that lasts (ENFILE, ENOBUFS) kept the loop turning. Cause: the accept handler and the stop knew EAGAIN and ECONNABORTED only. Class: an error that the system may return at this call, and that nobody catches or that ends more than it concerns. Change: Acceptor passes over the errors that Linux reports for one connection, and tries again 50 ms after any other (accept_failed); a graceful shutdown does so until its hand-off. The listener of the service address uses it, too, in place of a loop of its own.

--- a/lockspoke/address/listener.py
+++ b/lockspoke/address/listener.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import socket
 from collections.abc import Callable
 
+from lockspoke.wire.tcp.acceptor import Acceptor
+
 from .clock import steady_clock
 
 LISTEN_BACKLOG = 1024
-MAX_ACCEPTS_PER_WAKEUP = 64
 
 
 class ServiceListener:
@@ -30,17 +30,17 @@
         self.address, self.on_accepted, self.clock = address, on_accepted, clock
         self.accepted_count = 0
         self.rejected_count = 0  # connections that were closed unread since the lease had ended
-        self._socket: socket.socket | None = None
+        self._acceptor: Acceptor | None = None  # None while not listening
         self._token = 0
         self._lease_until: Callable[[], int] = lambda: 0
 
     def claim(self, token: int, lease_until: Callable[[], int]) -> None:
         """Listen; raises OSError."""
         self._token, self._lease_until = token, lease_until
-        if self._socket is not None:
+        if self._acceptor is not None:
             return
-        self._socket = self._open()
-        asyncio.get_running_loop().add_reader(self._socket.fileno(), self._accept)
+        self._acceptor = Acceptor(self._open(), self._serve)
+        self._acceptor.resume()
 
     def _open(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self.address[0] else socket.AF_INET
@@ -55,24 +55,16 @@
             raise
         return opened
 
-    def _accept(self) -> None:
-        for _ in range(MAX_ACCEPTS_PER_WAKEUP):
-            if self._socket is None:
-                return
-            try:
-                connection, _ = self._socket.accept()
-            except OSError:
-                return
-            if self.clock() >= self._lease_until():
-                self.rejected_count += 1
-                connection.close()
-                continue
-            self.accepted_count += 1
-            self.on_accepted(connection, self._token)
+    def _serve(self, accepted: socket.socket) -> None:
+        if self.clock() >= self._lease_until():
+            self.rejected_count += 1
+            accepted.close()
+            return
+        self.accepted_count += 1
+        self.on_accepted(accepted, self._token)
 
     def withdraw(self, reason: str) -> None:  # noqa: ARG002 - the protocol of announcers has it
         """Stop listening; the system resets the connections in the backlog."""
-        if self._socket is not None:
-            asyncio.get_running_loop().remove_reader(self._socket.fileno())
-            self._socket.close()
-            self._socket = None
+        if self._acceptor is not None:
+            self._acceptor.close()
+            self._acceptor = None
--- a/lockspoke/lifecycle/graceful_shutdown.py
+++ b/lockspoke/lifecycle/graceful_shutdown.py
@@ -48,7 +48,7 @@
             self._started_at + REJECT_TIME_WITHOUT_RESUME, self._update_admission
         )
         await self._accept_late_connections()
-        gateway.clients.listener.stop()
+        await self._stop_listening()
         await self._finish_open_requests()
         for drain in drains:
             await drain
@@ -69,6 +69,14 @@
             if is_quiet and loop.time() - self._started_at >= MIN_ACCEPT_TIME:
                 return
 
+    async def _stop_listening(self) -> None:
+        """Stop listening once the kernel's queue is empty, also if the system cannot accept for a while."""
+        loop, listener = asyncio.get_running_loop(), self._gateway.clients.listener
+        while not listener.accept_waiting() and loop.time() < self._kill_at - HANDOFF_BEFORE_KILL:
+            self._update_admission()
+            await asyncio.sleep(ACCEPT_POLL_INTERVAL)
+        listener.stop()
+
     def _accept_end(self) -> float:
         """When no new connections are accepted any more, by the configuration in force."""
         end = min(self._started_at + MAX_ACCEPT_TIME, self._kill_at - HANDOFF_BEFORE_KILL)
--- a/lockspoke/wire/tcp/acceptor.py
+++ b/lockspoke/wire/tcp/acceptor.py
@@ -3,50 +3,117 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 
+from lockspoke.rate_limited_log import RateLimitedLog
+
 MAX_ACCEPTS_PER_TURN = 16  # of the event loop, so that everything else goes on between them
+RETRY_DELAY_SECONDS = 0.05  # after a failure of the system, such as too many open files
+# Errors of the connection that was to be accepted, as Linux documents them: the next one is not affected.
+CONNECTION_ERRORS = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
 
 
 class Acceptor:
-    """Accepts connections while it is not paused, and passes each to a function."""
+    """Accepts connections while it is not paused, and passes each to a function.
+
+    Where the system has no resources for another connection, it tries again after a while.
+    """
 
     def __init__(self, listening: socket.socket, serve: Callable[[socket.socket], object]) -> None:
         """Take a listening socket, which does not block; `serve` is called with each connection."""
+        self.paused = True
         self._listening = listening
         self._serve = serve
-        self.paused = True
+        self._retry: asyncio.TimerHandle | None = None  # while it waits after a failure of the system
+        self._failure_log = RateLimitedLog("accept_failed")
 
     def resume(self) -> None:
         """Accept from now on."""
         if self.paused:
             self.paused = False
-            asyncio.get_running_loop().add_reader(self._listening, self._accept_some)
+            self._watch()
 
     def pause(self) -> None:
         """Leave new connections in the kernel's queue."""
-        if not self.paused:
-            self.paused = True
-            asyncio.get_running_loop().remove_reader(self._listening)
+        self.paused = True
+        self._unwatch()
+
+    def _watch(self) -> None:
+        self._unwatch()
+        asyncio.get_running_loop().add_reader(self._listening, self._accept_some)
+
+    def _unwatch(self) -> None:
+        if self._retry is not None:
+            self._retry.cancel()
+            self._retry = None
+        asyncio.get_running_loop().remove_reader(self._listening)
 
     def accept(self) -> socket.socket | None:
-        """Accept one connection; returns None if none waits."""
+        """Accept one connection; returns None if none waits.
+
+        Raises:
+            OSError: The system cannot accept a connection now.
+        """
         while True:
             try:
                 return self._listening.accept()[0]
             except BlockingIOError:
                 return None
-            except ConnectionAbortedError:
-                continue  # it was closed while it waited
+            except OSError as error:
+                if error.errno not in CONNECTION_ERRORS:
+                    raise
 
     def _accept_some(self) -> None:
         for _ in range(MAX_ACCEPTS_PER_TURN):
-            accepted = None if self.paused else self.accept()
+            try:
+                accepted = None if self.paused else self.accept()
+            except OSError as error:
+                self._retry_later(error)
+                return
             if accepted is None:
                 return
             self._serve(accepted)
 
+    def _retry_later(self, error: OSError) -> None:
+        loop = asyncio.get_running_loop()
+        self._failure_log.info(loop.time(), reason=str(error))
+        # The socket stays ready: watched on, it would keep the event loop turning.
+        self._unwatch()
+        self._retry = loop.call_later(RETRY_DELAY_SECONDS, self._watch)
+
+    def accept_waiting(self, has_capacity: Callable[[], bool]) -> bool:
+        """Accept the connections in the kernel's queue while there is capacity, paused or not.
+
+        Returns:
+            Whether none is left that could be accepted; False where the system cannot accept it now.
+        """
+        while has_capacity():
+            try:
+                accepted = self.accept()
+            except OSError as error:
+                self._failure_log.info(asyncio.get_running_loop().time(), reason=str(error))
+                return False
+            if accepted is None:
+                return True
+            self._serve(accepted)
+        return True
+
     def close(self) -> None:
         """Stop listening: connections in the kernel's queue are reset."""
         self.pause()
--- a/lockspoke/wire/tcp/listener.py
+++ b/lockspoke/wire/tcp/listener.py
@@ -136,13 +136,21 @@
         for connection in list(self.connections):
             close(connection, CloseReason.STOPPED)
 
+    def accept_waiting(self) -> bool:
+        """Accept the connections in the kernel's queue, as far as the limit allows.
+
+        A client may already have written a request to a connection in the queue.
+
+        Returns:
+            Whether all that the limit allows are accepted; False where the system cannot accept them now.
+        """
+        if self._acceptor is None:
+            return True
+        return self._acceptor.accept_waiting(lambda: self._open_count <= self.max_connections)
+
     def stop(self) -> None:
         """Accept the connections in the kernel's queue, then stop listening."""
-        if self._acceptor is None:
-            return
-        acceptor, self._acceptor = self._acceptor, None
-        acceptor.pause()
-        # A client may already have written a request to a connection in the queue.
-        while self._open_count <= self.max_connections and (accepted := acceptor.accept()) is not None:
-            self.serve_accepted(accepted)
-        acceptor.close()
+        if self._acceptor is not None:
+            self.accept_waiting()
+            self._acceptor.close()
+            self._acceptor = None
