A read that fails otherwise than by a reset loses no bytes and ends its connection

What callers saw: an answer whose connection broke with EHOSTUNREACH right behind its last bytes was lost; each such break wrote an exception. Cause: Tornado raises errors other than resets as they are out of read_bytes. ReadAhead starts the next read before it returns the bytes of the last, so they were dropped; FairReader passed an error on that no reader expects. Class: an error that the system may return at this call, and that is caught as nothing or as something else. Change: start_read gives StreamClosedError for every end, for all readers.

--- a/lockspoke/wire/tcp/fair_reader.py
+++ b/lockspoke/wire/tcp/fair_reader.py
@@ -7,6 +7,7 @@
 from tornado.iostream import IOStream
 
 from .closing import is_quiet
+from .reading import start_read
 
 READ_SIZE = 16 * 1024  # bytes
 
@@ -54,7 +55,7 @@
                 await asyncio.sleep(0)
             finally:
                 self.giving_way = False
-        self._reading = asyncio.ensure_future(self._stream.read_bytes(self._size, partial=True))
+        self._reading = start_read(self._stream, self._size)
         self._was_ready = self._reading.done()
         try:
             return await self._reading
--- a/lockspoke/wire/tcp/read_ahead.py
+++ b/lockspoke/wire/tcp/read_ahead.py
@@ -4,10 +4,11 @@
 
 import asyncio
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 from .closing import is_quiet
 from .dialing import READ_SIZE
+from .reading import start_read
 
 
 class ReadAhead:
@@ -18,14 +19,7 @@
         self.pending = self._start_read()
 
     def _start_read(self) -> asyncio.Future[bytes]:
-        try:
-            pending: asyncio.Future[bytes] = asyncio.ensure_future(
-                self.stream.read_bytes(READ_SIZE, partial=True)
-            )
-        except StreamClosedError as error:
-            # Raised here, it would discard the bytes that arrived before the end.
-            pending = asyncio.get_running_loop().create_future()
-            pending.set_exception(error)
+        pending = start_read(self.stream, READ_SIZE)
         # Retrieves the exception, so that an end that nobody awaits is not logged as an ignored error.
         pending.add_done_callback(lambda done: done.cancelled() or done.exception())
         return pending
--- /dev/null
+++ b/lockspoke/wire/tcp/reading.py
@@ -0,0 +1,25 @@
+"""Starting a read of a connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tornado.iostream import IOStream, StreamClosedError
+
+
+def start_read(stream: IOStream, size: int) -> asyncio.Future[bytes]:
+    """Start to read the next bytes, `size` at most; never raises.
+
+    Returns:
+        A future of the bytes. However the connection has ended, its exception is StreamClosedError: Tornado
+        itself raises other errors than a reset as they are, such as a host that cannot be reached any more.
+    """
+    try:
+        return asyncio.ensure_future(stream.read_bytes(size, partial=True))
+    except StreamClosedError as error:
+        closed = error
+    except OSError as error:
+        closed = StreamClosedError(real_error=error)
+    failed: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
+    failed.set_exception(closed)
+    return failed
