A replica's start is fixed when it is first listed, whatever the wall clock does later

Cause: boot_ms was compared with a clock that is fixed at the gateway's start. Class: spans of real time from two wall clock readings. Change: ProcessStarts turns boot_ms into the core's clock once; where the wall clock differs from the core's by over a second, the younger age counts; a start in the future counts as now. Which of two processes at an address is older follows from that, too. Nothing changes where the clocks agree. Still open: a gateway that starts with a clock that is ahead has no evidence against it, and takes starting replicas for warm.

--- a/lockspoke/core/core.py
+++ b/lockspoke/core/core.py
@@ -24,6 +24,7 @@
 
 from .actions import ActionExecutor
 from .interfaces import Clock, Discovery
+from .process_start import ClockReading
 from .replica_set import Replica, ReplicaListUpdate, ReplicaSet, ReplicaSetChange
 from .request_lifecycle import RequestLifecycle
 from .request_log import RequestLog
@@ -183,7 +184,8 @@
             cached: Whether it was stored by an earlier process, and is not confirmed by discovery yet.
             completes_poll: Whether it is the response to the poll that the balancer waits for.
         """
-        self._apply(self.replica_set.apply(update, cached, completes_poll))
+        reading = ClockReading(self.clock.now(), self.clock.wall_time())
+        self._apply(self.replica_set.apply(update, reading, cached, completes_poll))
         # Without pruning, every replica that discovery has ever listed would stay in memory.
         self.replica_set.prune(self.balancer.replicas)
 
--- a/lockspoke/core/interfaces.py
+++ b/lockspoke/core/interfaces.py
@@ -20,6 +20,9 @@
     def now(self) -> int:
         """Nanoseconds since the Unix epoch; never goes back."""
 
+    def wall_time(self) -> int:
+        """Nanoseconds since the Unix epoch by the system's wall clock, which may be set at any time."""
+
     def earliest_arrival(self) -> int:
         """The earliest time at which input that is being read now can have arrived.
 
--- a/lockspoke/core/replica_set.py
+++ b/lockspoke/core/replica_set.py
@@ -7,9 +7,9 @@
 from typing import NamedTuple
 
 from lockspoke.balancing.events import EndpointListEntry, EndpointListKind, EndpointListUpdate, ReplicaState
-from lockspoke.units import MILLISECOND
 
 from .identifiers import Identifiers, machine_kind_identifier
+from .process_start import ClockReading, ProcessStarts
 
 UNKNOWN_VERSION = -1  # no list has been applied, or none from the discovery service that is polled now
 
@@ -60,6 +60,7 @@
     endpoint: tuple[str, int] | None
     state: ReplicaState
     boot_ms: int
+    started_at: int = 0  # when its process started, by the core's clock; 0: long ago
     last_attempt_at: int = 0  # when the first byte of an attempt was last sent, by the core's clock; 0: never
 
     @property
@@ -89,6 +90,7 @@
         # over the thousands of others.
         self._by_endpoint: dict[tuple[str, int], set[int]] = {}  # without removed replicas
         self._removed: set[int] = set()
+        self._process_starts = ProcessStarts()
         self._last_listed: dict[int, ListedReplica] = {}  # by number, the last entry for each replica
         self._banned: set[str] = set()  # uids; a ban holds whatever state the lists give
 
@@ -111,9 +113,13 @@
     # Endpoint lists
 
     def apply(
-        self, update: ReplicaListUpdate, cached: bool = False, completes_poll: bool = True
+        self,
+        update: ReplicaListUpdate,
+        reading: ClockReading,
+        cached: bool = False,
+        completes_poll: bool = True,
     ) -> ReplicaSetChange:
-        """Apply an update; see `Core.endpoint_list_changed` for the arguments."""
+        """Apply an update at a reading of the clocks; see `Core.endpoint_list_changed` for the rest."""
         self.version = update.version
         to_close: list[Replica] = []
         entries: dict[int, EndpointListEntry] = {}
@@ -121,13 +127,14 @@
         for entry in update.entries:
             number = self.identifiers.replica(entry.uid)
             self._last_listed[number] = entry
-            entries[number] = self._balancer_entry(number, entry)
+            started_at = self._process_starts.started_at(number, entry.boot_ms, reading)
             replica = self.replicas.get(number)
             if replica is None:
-                replica = Replica(number, entry.uid, entry.endpoint, entry.state, entry.boot_ms)
+                replica = Replica(number, entry.uid, entry.endpoint, entry.state, entry.boot_ms, started_at)
                 self.replicas[number] = replica
-            elif self._update(replica, entry):
+            elif self._update(replica, entry, started_at):
                 to_close.append(replica)
+            entries[number] = self._balancer_entry(replica, entry)
             self._index(replica)
             if replica.state != ReplicaState.REMOVED and replica.endpoint is not None:
                 touched[replica.endpoint] = None
@@ -140,7 +147,7 @@
         kind = _update_kind(update, cached)
         return ReplicaSetChange(EndpointListUpdate(kind, tuple(entries.values()), completes_poll), to_close)
 
-    def _update(self, replica: Replica, entry: ListedReplica) -> bool:
+    def _update(self, replica: Replica, entry: ListedReplica, started_at: int) -> bool:
         """Update a known replica from its entry; returns whether its idle connections are stale now.
 
         The replica is taken out of the indexes. The caller adds it again.
@@ -149,6 +156,7 @@
         stale = entry.state != ReplicaState.READY or entry.incarnation != replica.incarnation
         replica.endpoint = entry.endpoint or replica.endpoint
         replica.boot_ms = entry.boot_ms
+        replica.started_at = started_at
         replica.state = entry.state
         return stale
 
@@ -161,9 +169,7 @@
                 continue
             if replica.uid in unreadable:
                 # The balancer, too, removes what a full list does not name: repeat the last readable entry.
-                entries[replica.number] = self._balancer_entry(
-                    replica.number, self._last_listed[replica.number]
-                )
+                entries[replica.number] = self._balancer_entry(replica, self._last_listed[replica.number])
                 continue
             self._remove(replica)
             to_close.append(replica)
@@ -177,8 +183,8 @@
         superseded: list[Replica] = []
         for endpoint in endpoints:
             residents = [self.replicas[number] for number in self._by_endpoint.get(endpoint, ())]
-            youngest = max((replica.boot_ms for replica in residents), default=0)
-            superseded += [replica for replica in residents if replica.boot_ms != youngest]
+            youngest = max((replica.started_at for replica in residents), default=0)
+            superseded += [replica for replica in residents if replica.started_at != youngest]
         return superseded
 
     def prune(self, used: Container[int]) -> None:
@@ -186,19 +192,20 @@
         for number in [number for number in self._removed if number not in used]:
             self._removed.discard(number)
             self._last_listed.pop(number, None)
+            self._process_starts.forget(number)
             self.identifiers.forget(self.replicas.pop(number).uid)
 
-    def _balancer_entry(self, number: int, entry: ListedReplica) -> EndpointListEntry:
+    def _balancer_entry(self, replica: Replica, entry: ListedReplica) -> EndpointListEntry:
         banned = entry.state == ReplicaState.READY and entry.uid in self._banned
         return EndpointListEntry(
-            replica=number,
+            replica=replica.number,
             # To the balancer a banned replica is draining: open attempts go on, and no new ones are sent.
             state=ReplicaState.DRAINING if banned else entry.state,
             # All zones that the settings do not name share one index, which is no gateway's own zone.
             zone=self.zones.get(entry.zone, len(self.zones)),
             cell=entry.cell,
             weight=entry.weight,
-            started_at=entry.boot_ms * MILLISECOND,
+            started_at=replica.started_at,
             machine_kind=machine_kind_identifier(entry.machine_kind),
         )
 
@@ -228,7 +235,7 @@
             self._banned.discard(uid)
         if replica is None or replica.state == ReplicaState.REMOVED:
             return ReplicaSetChange(EndpointListUpdate(EndpointListKind.DELTA))
-        entry = self._balancer_entry(replica.number, self._last_listed[replica.number])
+        entry = self._balancer_entry(replica, self._last_listed[replica.number])
         event = EndpointListUpdate(EndpointListKind.DELTA, (entry,), completes_poll=False)
         return ReplicaSetChange(event, [replica] if banned else [])
 
--- a/lockspoke/lifecycle/clock.py
+++ b/lockspoke/lifecycle/clock.py
@@ -20,6 +20,10 @@
         """Nanoseconds since the Unix epoch, never decreasing."""
         return self._offset + time.monotonic_ns()
 
+    def wall_time(self) -> int:
+        """Nanoseconds since the Unix epoch by the system's wall clock, which may be set at any time."""
+        return time.time_ns()
+
     def earliest_arrival(self) -> int:
         """The earliest time at which input that tasks read now can have arrived, as `now` gives it."""
         loop = asyncio.get_running_loop()
--- a/tests/clocked.py
+++ b/tests/clocked.py
@@ -60,6 +60,9 @@
     def now(self) -> int:
         return int(self.loop.time() * 1e9)
 
+    def wall_time(self) -> int:
+        return self.now()
+
     def earliest_arrival(self) -> int:
         return self.now()
 
--- a/tests/core/test_replica_set.py
+++ b/tests/core/test_replica_set.py
@@ -4,6 +4,7 @@
 
 from lockspoke.balancing.events import ReplicaState
 from lockspoke.core.identifiers import Identifiers
+from lockspoke.core.process_start import ClockReading
 from lockspoke.core.replica_set import ListedReplica, ReplicaListUpdate, ReplicaSet
 from lockspoke.units import MILLISECOND, SECOND
 from tests.core.world import World
@@ -32,7 +33,8 @@
         change = replica_set.apply(
             ReplicaListUpdate(
                 1, True, (*entries, ListedReplica("k9", ReplicaState.READY, ("127.0.0.1", 9000)))
-            )
+            ),
+            ClockReading(SECOND, SECOND),
         )
         kinds.append([entry.machine_kind for entry in change.event.entries])
     assert kinds[0] == kinds[1]
--- a/tests/core/world.py
+++ b/tests/core/world.py
@@ -60,6 +60,7 @@
 
     def __init__(self, replicas: int = 2, **changes: Any) -> None:
         self.time = 1_000 * SECOND
+        self.wall_clock_step = 0  # by which the wall clock was set since the start
         self.timers: list[Timer] = []
         self.started: list[Attempt] = []
         self.cancelled: list[Attempt] = []
@@ -79,6 +80,9 @@
     def now(self) -> int:
         return self.time
 
+    def wall_time(self) -> int:
+        return self.time + self.wall_clock_step
+
     def earliest_arrival(self) -> int:
         return self.time
 
