--- a/lockspoke/batch/journal.py
+++ b/lockspoke/batch/journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import json
 import os
@@ -77,6 +78,7 @@
         self.path = path
         self.executor = executor
         self.size = 0
+        self._has_partial_write = False  # behind `size`, by a write that failed
         self._pending: list[_PendingAppend] = []
         self._flusher: asyncio.Task[None] | None = None
         self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -172,15 +174,24 @@
             self._flusher = None
 
     def _write(self, data: bytes, offset: int) -> None:
+        if self._has_partial_write:
+            self._truncate_partial_write(offset)
         try:
             remaining = memoryview(data)
             while remaining:
                 remaining = remaining[os.write(self._descriptor, remaining) :]
             os.fsync(self._descriptor)
         except OSError:
-            os.ftruncate(self._descriptor, offset)  # a partial record must not precede the next one
+            self._has_partial_write = True
+            with contextlib.suppress(OSError):  # the next write tries again
+                self._truncate_partial_write(offset)
             raise
 
+    def _truncate_partial_write(self, offset: int) -> None:
+        """Remove what a failed write has left: a partial record must not precede the next one."""
+        os.ftruncate(self._descriptor, offset)
+        self._has_partial_write = False
+
     def close(self) -> None:
         """Close the file, which releases the lock."""
         os.close(self._descriptor)
--- a/tests/batch/test_journal.py
+++ b/tests/batch/test_journal.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import errno
+import os
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -91,3 +94,69 @@
 
     asyncio.run(scenario())
     assert [record["n"] for _, record in open_journal(tmp_path / "journal").load()] == [1, 3]
+
+
+class FailingDisk:
+    """Writes half and fails, and for a while rejects truncations, too."""
+
+    def __init__(self, patch: pytest.MonkeyPatch, truncations: int) -> None:
+        self.truncations = truncations  # that fail
+        self.write, self.truncate = os.write, os.ftruncate
+        patch.setattr("lockspoke.batch.journal.os.write", self.write_half)
+        patch.setattr("lockspoke.batch.journal.os.ftruncate", self.reject_truncation)
+
+    def write_half(self, descriptor: int, data: memoryview) -> int:
+        self.write(descriptor, data[: len(data) // 2])
+        raise OSError(errno.EIO, "injected")
+
+    def reject_truncation(self, descriptor: int, size: int) -> None:
+        if self.truncations:
+            self.truncations -= 1
+            raise OSError(errno.EIO, "injected")
+        self.truncate(descriptor, size)
+
+
+@pytest.mark.parametrize("truncations", [0, 1, 2])
+def test_records_behind_a_write_that_was_left_half_done_can_be_read_after_a_restart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, truncations: int
+) -> None:
+    """The write fails, and so does the attempt to take the half back."""
+    path, acknowledged = tmp_path / "journal", [1]
+
+    async def scenario() -> None:
+        journal = open_journal(path)
+        await journal.append({"n": 1})
+        with monkeypatch.context() as patch:
+            disk = FailingDisk(patch, truncations)
+            with pytest.raises(StoreError):
+                await journal.append({"n": 2})
+        with monkeypatch.context() as patch:
+            patch.setattr("lockspoke.batch.journal.os.ftruncate", disk.reject_truncation)
+            for number in (3, 4, 5):
+                with contextlib.suppress(StoreError):
+                    offset = await journal.append({"n": number})
+                    acknowledged.append(number)
+                    assert journal.read(offset) == {"n": number}
+        journal.close()
+
+    asyncio.run(scenario())
+    assert len(acknowledged) >= 3
+    assert [record["n"] for _, record in open_journal(path).load()] == acknowledged
+
+
+def test_a_kill_after_a_half_write_that_could_not_be_taken_back_loses_no_record(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        journal = open_journal(tmp_path / "journal")
+        await journal.append({"n": 1})
+        FailingDisk(monkeypatch, 100)
+        for number in (2, 3):
+            with pytest.raises(StoreError):
+                await journal.append({"n": number})
+        journal.close()
+
+    with monkeypatch.context():
+        asyncio.run(scenario())
+    monkeypatch.undo()
+    assert [record["n"] for _, record in open_journal(tmp_path / "journal").load()] == [1]
