--- /dev/null
+++ b/bench/faults/__main__.py
@@ -0,0 +1,28 @@
+"""`python -m bench.faults ...`: the gateway with faulty system calls, as FAULT_SETTINGS says.
+
+The arguments are those of `python -m lockspoke`.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from . import machine, network
+from .settings import VARIABLE, decode_settings
+
+
+def main() -> None:
+    """Install the faults, then run the gateway."""
+    settings = decode_settings(os.environ[VARIABLE])
+    network.install(settings)
+    machine.install_clock(settings)
+    machine.install_disk(settings)
+    # Imported behind the faults: modules hold on to the calls that they import.
+    from lockspoke.__main__ import main as run_gateway  # noqa: PLC0415
+
+    sys.exit(run_gateway())
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -174,6 +174,7 @@
         operator: bool = False,
         env: dict[str, str] | None = None,
         keepalive: int = 10 * SECOND,
+        module: str = "lockspoke",
         **settings: Any,
     ) -> None:
         self.settings = settings
@@ -181,6 +182,7 @@
         self.operator = operator
         self.env = env or {}
         self.keepalive = keepalive
+        self.module = module  # that is run
         self.known = {"rev": 1, "all": True, "targets": [target(replica) for replica in replicas]}
         self.discovery = discovery.port if discovery is not None else 1
         self.options = options
@@ -213,7 +215,7 @@
             "TMPDIR": self.folder.name,
         }
         env |= self.env
-        command = [sys.executable, "-B", "-m", "lockspoke", *map(str, self.options)]
+        command = [sys.executable, "-B", "-m", self.module, *map(str, self.options)]
         self.process = await asyncio.create_subprocess_exec(
             *command, cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
         )
