Soak: an unanswered request is forgiven only if it cannot have been read; dead actors fail

Cause: the soak deleted every request that ended without an answer on a reused connection, which is the platform's lost; an event that was cut within a number killed its client in silence; gather swallowed dead actors. Change: the client tells by the state of its connection whether the gateway had read all (an end, no reset); NOT_READ stays in the observations and is a break if a replica got the request; events are parsed as a stream; an actor that dies fails the run by rule actor.

--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -3,17 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
+import socket
 import time
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass
 
-from lockspoke.wire.http.messages import BodyChunk, MessageEnd, MessagePart, ResponseHead
+from lockspoke.wire.http.messages import BodyChunk, MessageEnd, ResponseHead
 from lockspoke.wire.http.response_parser import ResponseParser
 from tests.standins import request_bytes
 
+from .events import EventDelays
 from .observations import ClientRequestSeen, Observations, ReplyKind
 
 DEADLINES_MS = {"chat": 3000, "once": 2000}
@@ -21,6 +21,7 @@
 PATIENCE = 12.0  # seconds for a reply; far longer than any stream of the stand-ins takes
 DISCONNECT_SHARE = 0.05  # of requests, whose client closes its connection early
 PIECES_SHARE = 0.1  # of requests that are written in two pieces
+TCP_CLOSE_WAIT = 8  # the state of a connection whose peer has ended its sending, and no more
 LONGEST_REST = 0.3  # seconds between two requests
 
 
@@ -38,6 +39,10 @@
 class GatewayClosedError(Exception):
     """The gateway has closed the connection without a byte of a reply."""
 
+    def __init__(self, had_read_all: bool) -> None:
+        super().__init__()
+        self.had_read_all = had_read_all  # whether it had read all that was sent
+
 
 class SoakClient:
     """One client, with one connection at a time."""
@@ -102,10 +107,17 @@
         self._observations.requests[request.request_id] = request
         try:
             async with asyncio.timeout(PATIENCE if disconnects_after is None else disconnects_after):
-                request.reply, reusable = await self._read_reply(reader, request)
-        except GatewayClosedError:
+                connected = writer.get_extra_info("socket")
+                request.reply, reusable = await self._read_reply(reader, connected, request)
+        except GatewayClosedError as error:
             request.ended_at = time.monotonic()
-            self._note_unanswered(process, request, is_first)
+            if process.killed:
+                request.reply = ReplyKind.GATEWAY_KILLED
+            elif is_first or error.had_read_all:
+                request.reply = ReplyKind.UNANSWERED
+            else:
+                # It crossed the end of a connection that rested: its client would send it again.
+                request.reply = ReplyKind.NOT_READ
             return False
         except TimeoutError:
             writer.transport.abort()
@@ -118,15 +130,6 @@
             request.reply = ReplyKind.GATEWAY_KILLED
         return reusable
 
-    def _note_unanswered(self, process: GatewayProcess, request: ClientRequestSeen, is_first: bool) -> None:
-        """A request that met the close of an idle connection was not read: its client would send it again."""
-        if process.killed:
-            request.reply = ReplyKind.GATEWAY_KILLED
-        elif is_first:
-            request.reply = ReplyKind.UNANSWERED
-        else:
-            del self._observations.requests[request.request_id]
-
     async def _write(self, writer: asyncio.StreamWriter, request: ClientRequestSeen) -> None:
         raw = request_bytes(
             0, request.deadline_ms, request.class_name, b"{}", **{"Req-Id": request.request_id}
@@ -141,36 +144,38 @@
         await writer.drain()
 
     async def _read_reply(
-        self, reader: asyncio.StreamReader, request: ClientRequestSeen
+        self, reader: asyncio.StreamReader, connected: socket.socket, request: ClientRequestSeen
     ) -> tuple[ReplyKind, bool]:
         """Read a reply to its end; returns its kind, and whether the connection may be used again."""
-        parser, head = ResponseParser(), None
+        parser, head, delays = ResponseParser(), None, EventDelays()
         while True:
-            data = b""
-            with suppress(ConnectionError):
+            data, was_reset = b"", False
+            try:
                 data = await reader.read(READ_SIZE)
+            except ConnectionError:
+                was_reset = True
             read_at = time.monotonic()
             if not data:
                 if head is None:
-                    raise GatewayClosedError
+                    raise GatewayClosedError(had_read_all=not was_reset and is_half_closed(connected))
                 return ReplyKind.TRUNCATED, False
             for piece in parser.feed(data):
                 if isinstance(piece, ResponseHead):
                     head = piece
                 if head is not None and isinstance(piece, MessageEnd):
                     return _kind_of(head), head.keep_alive
-                self._note_delay(request, piece, read_at)
-
-    @staticmethod
-    def _note_delay(request: ClientRequestSeen, piece: MessagePart, read_at: float) -> None:
-        """Record how late an event is that holds the time at which its replica wrote it."""
-        if not isinstance(piece, BodyChunk):
-            return
-        for line in piece.data.splitlines():
-            with suppress(ValueError, KeyError, IndexError):
-                event = json.loads(line.removeprefix(b"data: "))
-                delay = read_at - float(event["choices"][0]["delta"]["content"])
-                request.longest_event_delay = max(request.longest_event_delay, delay)
+                if isinstance(piece, BodyChunk):
+                    delays.feed(piece.data, read_at)
+                    request.longest_event_delay = delays.longest
+
+
+def is_half_closed(connected: socket.socket) -> bool:
+    """Whether the peer of a connection that has ended has read all that was sent to it.
+
+    A peer that closes with unread bytes resets the connection, and so does one that gets bytes afterwards.
+    """
+    state = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    return state == TCP_CLOSE_WAIT
 
 
 def _kind_of(head: ResponseHead) -> ReplyKind:
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -42,8 +42,12 @@
 
 def violations(seen: Observations) -> list[Violation]:
     """All broken rules."""
-    checks = (_drains, _answers, _forbidden_repeats, _deadlines, _disconnected_clients, _late_events, _exits)
-    return [violation for check in checks for violation in check(seen)]
+    return [violation for check in CHECKS for violation in check(seen)]
+
+
+def _actors(seen: Observations) -> Iterator[Violation]:
+    for fault in seen.actor_faults:
+        yield Violation("actor", f"the bench itself failed: {fault}")
 
 
 def _drains(seen: Observations) -> Iterator[Violation]:
@@ -66,6 +70,7 @@
 
 
 def _answers(seen: Observations) -> Iterator[Violation]:
+    forwarded = {attempt.request_id for attempt in seen.attempts}
     finished = {attempt.request_id for attempt in seen.attempts if attempt.finished}
     for request in seen.requests.values():
         where = f"request {request.request_id} at {request.gateway}, sent at {request.sent_at:.3f} s"
@@ -73,6 +78,8 @@
             yield Violation("lost", f"{where} got no final answer")
         elif request.reply is ReplyKind.UNANSWERED:
             yield Violation("lost", f"{where}: its connection ended without an answer")
+        elif request.reply is ReplyKind.NOT_READ and request.request_id in forwarded:
+            yield Violation("lost", f"{where}: its connection was reset, and it was forwarded")
         elif request.reply is ReplyKind.GATEWAY_KILLED and _came_late(request):
             yield Violation(
                 "lost",
@@ -158,3 +165,15 @@
             yield Violation(
                 "exit", f"{ended.gateway} ended with {ended.code}, {ended.after:.2f} s after SIGTERM"
             )
+
+
+CHECKS = (
+    _actors,
+    _drains,
+    _answers,
+    _forbidden_repeats,
+    _deadlines,
+    _disconnected_clients,
+    _late_events,
+    _exits,
+)
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -13,7 +13,8 @@
     REJECTED = "rejected"
     FAILED = "failed"
     TRUNCATED = "truncated"  # a stream without its last chunk
-    UNANSWERED = "unanswered"  # the gateway ended the connection without a byte
+    UNANSWERED = "unanswered"  # the gateway ended the connection without a byte, and had read the request
+    NOT_READ = "not_read"  # the same, and the gateway cannot have read it: its client sends it again
     CLIENT_DISCONNECTED = "client_disconnected"
     GATEWAY_KILLED = "gateway_killed"  # the connection ended at a SIGKILL
 
@@ -77,3 +78,4 @@
     exits: list[GatewayExit] = field(default_factory=list)
     own_delays: list[float] = field(default_factory=list)  # by which the bench's own loop was late
     crashes: list[str] = field(default_factory=list)
+    actor_faults: list[str] = field(default_factory=list)  # actors of the bench that died
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -53,7 +53,8 @@
             ended_at = time.monotonic()
             for task in tasks:
                 task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            self._seen.actor_faults += [repr(result) for result in results if isinstance(result, Exception)]
             for writer in self._crowd:
                 writer.close()
             await asyncio.gather(*(gateway.stop_for_good() for gateway in self._gateways))
--- a/tests/bench/test_soak_judge.py
+++ b/tests/bench/test_soak_judge.py
@@ -41,6 +41,11 @@
     seen.requests[ID].ended_at = ended_at
 
 
+def not_read(seen: Observations) -> None:
+    reply(seen, ReplyKind.NOT_READ)
+    seen.attempts.clear()
+
+
 def replies_at_kill(seen: Observations, after_sigterm: float) -> None:
     reply(seen, ReplyKind.GATEWAY_KILLED)
     seen.requests[ID].sent_after_sigterm = after_sigterm
@@ -51,6 +56,7 @@
     ("drain", "chat", lambda seen: notify_drain(seen, 0.31)),
     ("lost", "chat", lambda seen: reply(seen, None)),
     ("lost", "chat", lambda seen: reply(seen, ReplyKind.UNANSWERED)),
+    ("lost", "chat", lambda seen: reply(seen, ReplyKind.NOT_READ)),  # a replica has got it
     ("lost", "chat", lambda seen: reply(seen, ReplyKind.TRUNCATED)),
     ("lost", "chat", lambda seen: reply(seen, ReplyKind.REJECTED, 13.6)),
     ("lost", "chat", lambda seen: replies_at_kill(seen, 0.8)),
@@ -59,6 +65,7 @@
     ("disconnected client", "chat", lambda seen: setattr(seen.requests[ID], "disconnected_at", 9.94)),
     ("late events", "chat", lambda seen: setattr(seen.requests[ID], "longest_event_delay", 0.36)),
     ("exit", "chat", lambda seen: seen.exits.append(GatewayExit("g1.1", 1, killed=False, after=1.0))),
+    ("actor", "chat", lambda seen: seen.actor_faults.append("TypeError()")),
     ("crash", "chat", lambda seen: seen.crashes.append("g1.1 ended with -11 by itself")),
 ]
 KEPT: list[tuple[str, Plant]] = [
@@ -68,6 +75,7 @@
     ("chat", lambda seen: notify_drain(seen, 5.0, incarnation=1)),
     ("chat", lambda seen: notify_drain(seen, 5.0, gateway="g2.1")),
     ("chat", lambda seen: reply(seen, ReplyKind.REJECTED, 13.5)),
+    ("chat", not_read),
     ("chat", lambda seen: replies_at_kill(seen, 0.7)),
     ("chat", second_attempt),
     ("once", lambda seen: second_attempt(seen, declined=True)),
