--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -31,6 +31,7 @@
 
     name: str  # with the number of the process
     port: int
+    crowded: bool = False  # whether idle clients fill its descriptors: it may shut new connections unread
     accepts: bool = True  # whether clients open new connections to it
     terminated_at: float | None = None  # when it got its first SIGTERM
     killed: bool = False
@@ -113,10 +114,11 @@
             request.ended_at = time.monotonic()
             if process.killed:
                 request.reply = ReplyKind.GATEWAY_KILLED
-            elif is_first or error.had_read_all:
+            elif error.had_read_all or (is_first and not process.crowded):
                 request.reply = ReplyKind.UNANSWERED
             else:
-                # It crossed the end of a connection that rested: its client would send it again.
+                # It crossed the end of a connection that rested, or of a new one while idle clients fill the
+                # descriptors: its client would send it again.
                 request.reply = ReplyKind.NOT_READ
             return False
         except TimeoutError:
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -46,6 +46,7 @@
     deadline_ms: int
     finished: bool = False  # the whole stream was written
     declined: bool = False  # rejected unseen, so that it has not run
+    peer_port: int = 0  # of the gateway's side of the connection
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,4 +79,5 @@
     exits: list[GatewayExit] = field(default_factory=list)
     own_delays: list[float] = field(default_factory=list)  # by which the bench's own loop was late
     crashes: list[str] = field(default_factory=list)
+    broken_ports: set[int] = field(default_factory=set)  # of connections to replicas that the bench broke
     actor_faults: list[str] = field(default_factory=list)  # actors of the bench that died
--- a/bench/soak/replicas.py
+++ b/bench/soak/replicas.py
@@ -71,20 +71,21 @@
             while data := await reader.read(READ_SIZE):
                 for piece in parser.feed(data):
                     if isinstance(piece, RequestHead):
-                        attempt = self._record(piece, incarnation)
+                        attempt = self._record(piece, incarnation, writer)
                         await self._answer(attempt, writer)
         except (ConnectionError, asyncio.CancelledError):
             pass  # the end of the connection, or of the run
         finally:
             writer.transport.abort()
 
-    def _record(self, head: RequestHead, incarnation: int) -> AttemptSeen:
+    def _record(self, head: RequestHead, incarnation: int, writer: asyncio.StreamWriter) -> AttemptSeen:
         attempt = AttemptSeen(
             request_id=head.headers.get("req-id"),
             replica=self.index,
             replica_incarnation=incarnation,
             began_at=time.monotonic(),
             deadline_ms=int(head.headers.get("req-deadline-ms", "0")),
+            peer_port=writer.get_extra_info("peername")[1],
         )
         self._observations.attempts.append(attempt)
         return attempt
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -23,6 +23,7 @@
     DISCOVERY_SILENT = "discovery_silent"  # one gateway's open watch gets no answer any more
     DISCOVERY_DOWN = "discovery_down"  # discovery answers 503 to everybody
     RELOAD = "reload"  # SIGHUP, two in a row
+    HOLD = "hold"  # a gateway's process is held up
     RESTART = "restart"  # SIGTERM, sometimes twice and with a SIGHUP between; SIGKILL at the earliest time
 
 
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -10,6 +10,7 @@
 
 from bench.batch_soak import BatchSoak
 from bench.batch_soak import draw_schedule as draw_batch_schedule
+from bench.soak.faults import CONCERNS, draw_plan
 from bench.soak.judge import is_void, violations
 from bench.soak.run import SoakRun
 from bench.soak.schedule import Disturbance, draw_schedule
@@ -38,4 +39,5 @@
 def test_a_seed_draws_the_same_schedule_each_time_and_another_seed_another_one() -> None:
     assert draw_schedule(5, 30.0) == draw_schedule(5, 30.0) != draw_schedule(6, 30.0)
     drawn = {step.disturbance for seed in range(20) for step in draw_schedule(seed, 30.0).steps}
+    drawn |= {step.disturbance for step in draw_plan(1, 30.0, CONCERNS).steps}
     assert drawn == set(Disturbance), "every disturbance is drawn by some seed"
