--- a/tests/lifecycle/test_requests_on_idle_connections.py
+++ b/tests/lifecycle/test_requests_on_idle_connections.py
@@ -1,13 +1,25 @@
-"""A request that arrives as its idle connection is about to be closed is answered, or left unread."""
+"""Requests that wait behind a limit of connections: none is dropped, and their time runs meanwhile."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
 import signal
+import time
 from collections.abc import AsyncIterator
 
-from tests.standins import ROOT, Client, FakeReplica, Program, request_bytes, until
+from tests.standins import (
+    EVENTS,
+    ROOT,
+    STREAM_HEAD,
+    STREAM_TAIL,
+    Client,
+    FakeReplica,
+    Program,
+    chunk,
+    request_bytes,
+    until,
+)
 
 from .support import UP, run
 
@@ -42,3 +54,37 @@
             await stack.enter_async_context(Client(program.port))
         status, _, _, complete = await asyncio.wait_for(longest_idle.read_response(), 10)
         assert (status, complete) == (200, True)
+
+
+DEADLINE_MS = 3000
+DEADLINE_SLACK_MS = 150  # of the platform, for the time that is passed on
+TIME_IN_QUEUE = 1.0  # seconds
+
+
+@run
+async def test_the_time_of_a_request_runs_while_its_connection_waits_to_be_accepted() -> None:
+    """Its client counts from when it was written."""
+    go = asyncio.Event()
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(STREAM_HEAD + chunk(EVENTS[0]))
+        await go.wait()
+        writer.write(chunk(STREAM_TAIL) + chunk(b""))
+
+    async with contextlib.AsyncExitStack() as stack:
+        replica = await stack.enter_async_context(FakeReplica(script))
+        program = await stack.enter_async_context(Program(replica, sockets=SOCKETS))
+        clients = [await stack.enter_async_context(Client(program.port)) for _ in range(CLIENTS + 2)]
+        responses = [
+            asyncio.ensure_future(client.request(request_bytes(number, DEADLINE_MS)))
+            for number, client in enumerate(clients, 1)
+        ]
+        sent_at = time.monotonic()
+        await until(lambda: program.log("clients_at_limit") is not None)
+        await asyncio.sleep(TIME_IN_QUEUE)
+        accepted = len(replica.seen)
+        go.set()
+        assert [(await response)[0] for response in responses] == [200] * len(clients)
+        passed_on = [int(one.head.headers.get("req-deadline-ms")) for one in replica.seen[accepted:]]
+        remaining = DEADLINE_MS - 1000 * TIME_IN_QUEUE
+        assert passed_on and max(passed_on) <= remaining + DEADLINE_SLACK_MS, f"{time.monotonic() - sent_at}"
