The time of a request runs while its connection waits in the kernel's queue

What callers saw: where a gateway accepts late (a crowd at the limit, a failing accept), answers later than half a second after their time, which counts as lost, and deadlines passed on that are longer than what is left. Cause: a request's time began when its connection was read. The platform counts from its last byte, in the kernel's queue or not. Class: a span of time that begins where the program looks, not where the event was. Change: Acceptor knows since when connections can have been waiting; for the first bytes of such a connection the system's record of the last data (TCP_INFO) gives the arrival, never before that bound. Where the system has no such record nothing changes.

--- a/lockspoke/batch/connection.py
+++ b/lockspoke/batch/connection.py
@@ -41,7 +41,7 @@
         self.application = application
         self.stream = stream
         self.reader = FairReader(stream)
-        self.opened_at = self.active_at = asyncio.get_running_loop().time()
+        self.opened_at = self.active_at = self.queued_since = asyncio.get_running_loop().time()
         # The listener closes connections that have never received anything first. The clients of this
         # front are few and known, so that none of them is closed before another.
         self.has_received = True
--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -18,6 +18,7 @@
 from lockspoke.wire.http.messages import HttpError, Request
 from lockspoke.wire.http.request_assembler import RequestAssembler
 from lockspoke.wire.tcp.accepted_connection import close, close_if_quiet
+from lockspoke.wire.tcp.arrival import seconds_since_last_data
 from lockspoke.wire.tcp.close_reason import CloseReason
 from lockspoke.wire.tcp.fair_reader import FairReader
 from lockspoke.wire.tcp.outgoing import OutgoingBuffer
@@ -33,6 +34,7 @@
 MAX_PIPELINED_REQUESTS = 4  # read ahead of the response; the platform's clients send one at a time
 FIRST_BYTE_TIMEOUT_SECONDS = 2.25  # for a new connection
 REQUEST_TIMEOUT_SECONDS = 2.25  # from a request's first byte to its last
+MIN_TIME_IN_QUEUE_SECONDS = 0.02  # that a connection waited to be accepted, for its requests' time to count
 LINGER_SECONDS = 1.0  # that a connection stays open after its last response, for the client to close
 LINGER_MAX_BYTES = 256 * 1024  # discarded after a malformed request, past which reading stops
 STALL_TIMEOUT_SECONDS = 20.0  # for a client that takes nothing of its response
@@ -74,7 +76,7 @@
         self.outgoing = OutgoingBuffer(stream)
         self.reader = FairReader(stream)
         self.closed_by_timeout = asyncio.Event()
-        self.opened_at = self.active_at = asyncio.get_running_loop().time()
+        self.opened_at = self.active_at = self.queued_since = asyncio.get_running_loop().time()
         self.assembler = RequestAssembler()
         self.buffered_bytes = 0  # of requests, complete or not
         self.pipelined: deque[ReceivedRequest | HttpError] = deque()  # to be answered in this order
@@ -150,10 +152,10 @@
 
     def _receive(self, data: bytes) -> None:
         """Parse input and answer what it completes."""
-        self.has_received = True
         if self.assembler.idle:
             self.active_at = asyncio.get_running_loop().time()
         self._parse(data)
+        self.has_received = True
         self._limit_pipelining()
         self._update_buffered_bytes()
         if self.open_request is not None:
@@ -166,7 +168,7 @@
 
     def _parse(self, data: bytes) -> None:
         try:
-            arrived_at = self.front.core.clock.earliest_arrival()
+            arrived_at = self._earliest_arrival()
             requests = self.assembler.feed(data)
             self.pipelined.extend(ReceivedRequest(request, arrived_at) for request in requests)
             if self.assembler.take_expect_continue():
@@ -174,6 +176,21 @@
         except HttpError as error:
             self._stop_parsing(error)
 
+    def _earliest_arrival(self) -> int:
+        """When the bytes that were just read can have come, by the core's clock.
+
+        The first ones may have waited in the kernel together with their connection.
+        """
+        clock = self.front.core.clock
+        arrived_at = clock.earliest_arrival()
+        if self.has_received:
+            return arrived_at
+        in_queue = asyncio.get_running_loop().time() - self.queued_since
+        if in_queue < MIN_TIME_IN_QUEUE_SECONDS:
+            return arrived_at
+        waited = min(in_queue, seconds_since_last_data(self.stream.socket))
+        return min(arrived_at, clock.now() - int(waited * SECOND))
+
     def _limit_pipelining(self) -> None:
         if len(self.pipelined) <= MAX_PIPELINED_REQUESTS or self.phase is not ConnectionPhase.SERVING:
             return
--- a/lockspoke/wire/operators/front.py
+++ b/lockspoke/wire/operators/front.py
@@ -53,7 +53,7 @@
     def __init__(self, handler: OperatorHandler, stream: IOStream) -> None:
         self.stream = stream
         self.reader = FairReader(stream, READ_SIZE)
-        self.opened_at = self.active_at = asyncio.get_running_loop().time()
+        self.opened_at = self.active_at = self.queued_since = asyncio.get_running_loop().time()
         self.has_received = False
         self.close_reason: CloseReason | None = None
         self._handler = handler
--- a/lockspoke/wire/tcp/accepted_connection.py
+++ b/lockspoke/wire/tcp/accepted_connection.py
@@ -16,6 +16,7 @@
 
     stream: IOStream
     reader: FairReader
+    queued_since: float  # when it can have come at the earliest, in seconds of the event loop's clock
     active_at: float  # seconds of the event loop's clock
     has_received: bool
     close_reason: CloseReason | None  # why this gateway closed it; None while it has not
--- a/lockspoke/wire/tcp/acceptor.py
+++ b/lockspoke/wire/tcp/acceptor.py
@@ -38,6 +38,8 @@
     def __init__(self, listening: socket.socket, serve: Callable[[socket.socket], object]) -> None:
         """Take a listening socket, which does not block; `serve` is called with each connection."""
         self.paused = True
+        # Since when connections can have been waiting; None: the queue was empty when it was last looked at.
+        self._waiting_since: float | None = None
         self._listening = listening
         self._serve = serve
         self._retry: asyncio.TimerHandle | None = None  # while it waits after a failure of the system
@@ -52,8 +54,19 @@
     def pause(self) -> None:
         """Leave new connections in the kernel's queue."""
         self.paused = True
+        self._note_waiting()
         self._unwatch()
 
+    @property
+    def waiting_since(self) -> float:
+        """When the connection that was accepted last can have come at the earliest, by the loop's clock."""
+        now = asyncio.get_running_loop().time()
+        return now if self._waiting_since is None else self._waiting_since
+
+    def _note_waiting(self) -> None:
+        if self._waiting_since is None:
+            self._waiting_since = asyncio.get_running_loop().time()
+
     def _watch(self) -> None:
         self._unwatch()
         asyncio.get_running_loop().add_reader(self._listening, self._accept_some)
@@ -74,12 +87,14 @@
             try:
                 return self._listening.accept()[0]
             except BlockingIOError:
+                self._waiting_since = None
                 return None
             except OSError as error:
                 if error.errno not in CONNECTION_ERRORS:
                     raise
 
     def _accept_some(self) -> None:
+        self._note_waiting()
         for _ in range(MAX_ACCEPTS_PER_TURN):
             try:
                 accepted = None if self.paused else self.accept()
--- a/lockspoke/wire/tcp/listener.py
+++ b/lockspoke/wire/tcp/listener.py
@@ -57,7 +57,9 @@
             shared: Whether another process, such as a new version, may listen at the same address.
         """
         listening = bind_sockets(address[1], address[0], backlog=BACKLOG, reuse_port=shared)[0]
-        self._acceptor = Acceptor(listening, self.serve_accepted)
+        self._acceptor = acceptor = Acceptor(
+            listening, lambda accepted: self.serve_accepted(accepted, acceptor.waiting_since)
+        )
         self._start_accepting()
         host, port = listening.getsockname()[:2]
         return host, port
@@ -89,13 +91,20 @@
         if paused and self._open_count > self.max_connections:
             self._close_longest_idle()
 
-    def serve_accepted(self, accepted: socket.socket) -> ConnectionT:
-        """Serve a connection that was accepted, here or by another listener for the same front."""
+    def serve_accepted(self, accepted: socket.socket, queued_since: float | None = None) -> ConnectionT:
+        """Serve a connection that was accepted, here or by another listener for the same front.
+
+        Args:
+            accepted: The connection.
+            queued_since: When it can have come at the earliest, by the event loop's clock; None: just now.
+        """
         self.last_accept = asyncio.get_running_loop().time()
         accepted.setblocking(False)
         stream = IOStream(accepted, max_buffer_size=MAX_STREAM_BUFFER, read_chunk_size=READ_SIZE)
         stream.set_nodelay(True)
         connection = self._create_connection(stream)
+        if queued_since is not None:
+            connection.queued_since = queued_since
         self.connections.add(connection)
         task = asyncio.ensure_future(connection.run())
         self._tasks.add(task)
--- a/tests/wire/tcp/test_listener.py
+++ b/tests/wire/tcp/test_listener.py
@@ -84,7 +84,7 @@
     def __init__(self, stream: IOStream) -> None:
         self.stream = stream
         self.reader = FairReader(stream)
-        self.active_at = asyncio.get_running_loop().time()
+        self.active_at = self.queued_since = asyncio.get_running_loop().time()
 
     @property
     def idle(self) -> bool:
