Batches and inventories count windows, pauses and waits on a clock that runs on

Cause: the store, the runner and the inventory read time.time. Class: spans of real time from two wall clock readings. Change: steady_unix_time: the wall clock at the start of the process and the real time since; it stands in the lowest layer. Still open: a step while the program is down moves the windows of the batches that it finds.

--- a/lockspoke/batch/subsystem.py
+++ b/lockspoke/batch/subsystem.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -13,6 +12,7 @@
 from lockspoke.core.core import Core
 from lockspoke.lifecycle.config import ConfigError, GatewayConfig
 from lockspoke.lifecycle.subsystems import EndpointListSource, Subsystem, SubsystemContext
+from lockspoke.steady_unix_time import steady_unix_time
 from lockspoke.wire.clients.front import ClientFront
 
 from .front import BatchFront
@@ -70,7 +70,7 @@
         """Open the store and connect runner and front; raises ConfigError if the store cannot be opened."""
         settings = self.settings
         try:
-            self.store = BatchStore(Path(settings.store), time.time)
+            self.store = BatchStore(Path(settings.store), steady_unix_time)
         except (StoreError, OSError) as error:
             raise ConfigError(f"batch.store: {error}") from None
         first_token_timeout = self.gateway.deadlines[self.request_class]
@@ -78,7 +78,7 @@
             self.store, settings.kind, self.request_class, first_token_timeout, settings.max_lines
         )
         self.runner = BatchRunner(
-            self.store, core, self.lines, settings.concurrency, settings.tries, time.time
+            self.store, core, self.lines, settings.concurrency, settings.tries, steady_unix_time
         )
         self.front = BatchFront(
             self.store, self.runner, settings.connections, settings.file_limit, self.token
--- a/lockspoke/inventory/source.py
+++ b/lockspoke/inventory/source.py
@@ -17,6 +17,8 @@
 
 from lockspoke.core.endpoint_list import EndpointListListener
 from lockspoke.core.replica_set import ListedReplica, ReplicaListUpdate
+from lockspoke.steady_unix_time import steady_unix_time_ns
+from lockspoke.units import MILLISECOND
 
 from . import store
 from .cache_writer import CacheWriter
@@ -38,7 +40,7 @@
 
 
 def _unix_ms() -> int:
-    return time.time_ns() // 1_000_000
+    return steady_unix_time_ns() // MILLISECOND
 
 
 class InventoryError(ValueError):
--- /dev/null
+++ b/tests/batch/test_wall_clock.py
@@ -0,0 +1,40 @@
+"""A wall clock that is set while batches run changes no window, pause or deadline."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from bench.faults.settings import VARIABLE, FaultSettings
+from tests.standins import FakeReplica, Program
+
+from .api_client import batch_config, connect, input_file
+
+LINES = 20
+STEP_AT = 2.0  # seconds after the program began: the batch has begun and is not finished
+PAUSE = 0.3  # seconds that a replica takes for a line
+
+
+@pytest.mark.parametrize("step", [-3600.0, 3600.0])
+def test_a_batch_keeps_its_window_when_the_wall_clock_is_set(step: float, tmp_path: Path) -> None:
+    faults = FaultSettings(wall_step=step, wall_step_at=STEP_AT)
+
+    async def scenario() -> None:
+        async with (
+            FakeReplica(pause=PAUSE) as replica,
+            Program(
+                replica,
+                module="bench.faults",
+                env={VARIABLE: faults.encode()},
+                options=("--batch", batch_config(tmp_path, concurrency=1)),
+            ) as program,
+        ):
+            api = await connect(program)
+            batch_id = await api.create_batch(input_file(LINES), "60s")
+            batch = await api.wait_until_final(batch_id)
+            assert batch["status"] == "completed"
+            assert batch["request_counts"] == {"total": LINES, "completed": LINES, "failed": 0}
+
+    asyncio.run(scenario())
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -16,7 +16,7 @@
 
 # From the lowest up: a package imports from its own row and the rows before it.
 LAYERS = (
-    ("rate_limited_log", "units"),
+    ("rate_limited_log", "steady_unix_time", "units"),
     ("balancing",),
     ("core", "simulator"),
     ("wire",),
