A batch whose input cannot be read for a moment begins later

What callers saw: a batch that stayed open for good. Cause: an OSError while the input file was indexed (all descriptors taken, EIO) ended the batch's task; only InvalidInputFileError was caught. Class: an error that the system may return at this call, and that nobody catches. Change: indexing is tried again each second, as writes are (batch_input_unreadable). Evidence and result: the new case in tests/batch/test_deleted_input.py timed out before, with batch_task_failed OSError(5); tests of batch: 71 passed.

--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -18,7 +18,7 @@
 from .scheduler import LineScheduler
 from .slots import LineSlots
 from .store import BatchStore
-from .tasks import BackgroundTasks, retry_until_stored
+from .tasks import BackgroundTasks, retry_until_readable, retry_until_stored
 
 log = structlog.get_logger()
 
@@ -82,9 +82,8 @@
         self.tasks.cancel_all()
 
     async def _run(self, batch: Batch) -> None:
-        loop = asyncio.get_running_loop()
         try:
-            index = await loop.run_in_executor(None, self.lines.index, batch)
+            index = await self._index(batch)
         except InvalidInputFileError as error:
             await self._fail(batch, error)
             return
@@ -97,6 +96,15 @@
         await run.drained.wait()
         await self._finish(batch)
 
+    async def _index(self, batch: Batch) -> InputIndex:
+        """Index the input file, as soon as it can be read.
+
+        Raises:
+            InvalidInputFileError: The file is no valid input.
+        """
+        loop = asyncio.get_running_loop()
+        return await retry_until_readable(lambda: loop.run_in_executor(None, self.lines.index, batch))
+
     async def _fail(self, batch: Batch, error: InvalidInputFileError) -> None:
         async def store_failure() -> None:
             async with self.store.status_lock:
--- a/lockspoke/batch/tasks.py
+++ b/lockspoke/batch/tasks.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
 import structlog
 
@@ -14,6 +14,8 @@
 
 log = structlog.get_logger()
 
+ResultT = TypeVar("ResultT")
+
 
 class BackgroundTasks:
     """Keeps references to running tasks, without which they could be garbage-collected."""
@@ -48,3 +50,13 @@
             await asyncio.sleep(WRITE_RETRY_INTERVAL)
         else:
             return
+
+
+async def retry_until_readable(read: Callable[[], Awaitable[ResultT]]) -> ResultT:
+    """Repeat a read until the system allows it: what was accepted must not be dropped for a failing disk."""
+    while True:
+        try:
+            return await read()
+        except OSError as error:
+            log.error("batch_input_unreadable", error=str(error))
+            await asyncio.sleep(WRITE_RETRY_INTERVAL)
--- a/tests/batch/test_deleted_input.py
+++ b/tests/batch/test_deleted_input.py
@@ -24,7 +24,7 @@
 from lockspoke.batch.batch_handlers import BatchHandlers
 from lockspoke.batch.errors import ApiError
 from lockspoke.batch.file_handlers import FileHandlers
-from lockspoke.batch.input_lines import InputLine
+from lockspoke.batch.input_lines import InputIndex, InputLine
 from lockspoke.batch.limits import FrontLimits
 from lockspoke.batch.records import Batch, BatchStatus, File, LineStatus
 from tests.standins import until
@@ -130,3 +130,30 @@
         assert batch.status is BatchStatus.CANCELLED
 
     harness.run(scenario)
+
+
+def test_a_batch_whose_input_file_cannot_be_read_for_a_moment_begins_later(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Before it has been read once: all descriptors are taken, or the disk fails."""
+    monkeypatch.setattr(tasks, "WRITE_RETRY_INTERVAL", 0.05)
+    harness = Harness(tmp_path)
+    failures = [errno.EMFILE, errno.EIO]
+    index = harness.runner.lines.index
+
+    def index_later(batch: Batch) -> InputIndex:
+        if failures:
+            raise OSError(failures.pop(), "injected")
+        return index(batch)
+
+    monkeypatch.setattr(harness.runner.lines, "index", index_later)
+
+    async def scenario() -> None:
+        batch = await harness.begin_batch(*lines(2))
+        await until(lambda: len(harness.in_flight()) == 2)
+        for attempt in harness.in_flight():
+            harness.serve(attempt)
+        await until(lambda: batch.is_final)
+        assert batch.status is BatchStatus.COMPLETED
+
+    harness.run(scenario)
