An accepted ban that could not be stored is written again each second

What callers saw: an operator's call answered done, and the next version sent requests to the banned replica. Cause: a failed write of the bans' file (ENOSPC, EIO) was logged and forgotten. Class: an error that is caught and goes no further, while what was accepted is still owed. Change: BanStorage tries again each second until the bans in force are stored. Still open: a new version that starts before the write has succeeded reads the bans of before.

--- a/lockspoke/lifecycle/bans_file.py
+++ b/lockspoke/lifecycle/bans_file.py
@@ -25,8 +25,8 @@
     return Path(environment.get("TMPDIR") or DEFAULT_FOLDER, f"{gateway}.bans.json")
 
 
-def write_bans(path: Path, uids: Iterable[str]) -> None:
-    """Replace the file by one with these replicas; a failure is only logged."""
+def write_bans(path: Path, uids: Iterable[str]) -> bool:
+    """Replace the file by one with these replicas; a failure is logged. Returns whether they are stored."""
     body = json.dumps({"version": VERSION, "uids": sorted(uids)})
     temporary = path.with_name(f".{path.name}.{os.getpid()}")
     try:
@@ -34,6 +34,8 @@
         temporary.replace(path)
     except OSError as error:
         log.error("bans_write_failed", file=str(path), reason=str(error))
+        return False
+    return True
 
 
 def read_bans(path: Path) -> list[str]:
--- a/lockspoke/lifecycle/composition.py
+++ b/lockspoke/lifecycle/composition.py
@@ -13,6 +13,7 @@
 from lockspoke.wire.operators.front import MAX_CONNECTIONS, OperatorFront
 from lockspoke.wire.replicas.transport import ReplicaTransport
 
+from .ban_storage import BanStorage
 from .clock import EventLoopClock
 from .config import GatewayConfig
 from .operator_commands import OperatorCommands
@@ -33,6 +34,7 @@
     core: Core
     clients: ClientFront
     operators: OperatorFront | None  # None where the configuration names no address for operators
+    bans: BanStorage
     subsystems: Sequence[Subsystem]
     reserved_descriptors: int  # file descriptors for connections of operators and subsystems
 
@@ -83,8 +85,9 @@
     watch.attach(core)
     clients = _client_front(config, core, state, per_side)
     operators = None
+    bans = BanStorage(bans_file, replica_set)
     if config.operator is not None:
-        operators = OperatorFront(OperatorCommands(state, core, clients, bans_file).execute)
+        operators = OperatorFront(OperatorCommands(state, core, clients, bans).execute)
     for subsystem in subsystems:
         subsystem.attach(core, clients)
     return Gateway(
@@ -96,6 +99,7 @@
         core=core,
         clients=clients,
         operators=operators,
+        bans=bans,
         subsystems=subsystems,
         reserved_descriptors=reserved_descriptors,
     )
--- a/lockspoke/lifecycle/operator_commands.py
+++ b/lockspoke/lifecycle/operator_commands.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from pathlib import Path
-
 import structlog
 
 from lockspoke.core.core import Core
@@ -12,7 +10,7 @@
 from lockspoke.wire.http.messages import HttpError
 from lockspoke.wire.operators.api import OperatorCommand, OperatorRequest
 
-from .bans_file import write_bans
+from .ban_storage import BanStorage
 from .phases import ProgramState
 
 log = structlog.get_logger()
@@ -21,11 +19,11 @@
 class OperatorCommands:
     """Carries out operators' requests on one gateway."""
 
-    def __init__(self, state: ProgramState, core: Core, clients: ClientFront, bans_file: Path) -> None:
+    def __init__(self, state: ProgramState, core: Core, clients: ClientFront, bans: BanStorage) -> None:
         self._state = state
         self._core = core
         self._clients = clients
-        self._bans_file = bans_file
+        self._bans = bans
 
     def execute(self, request: OperatorRequest) -> str:
         """Carry out a request; returns the response's text. Raises HttpError if it can't be done."""
@@ -47,7 +45,7 @@
     def _set_banned(self, uid: str, banned: bool) -> None:
         if not self._core.set_banned(uid, banned):
             raise HttpError(404, f"no list has named {uid[:200]}")
-        write_bans(self._bans_file, self._core.replica_set.banned)
+        self._bans.save()
 
     def _set_out_of_service(self, out_of_service: bool) -> None:
         if self._state.is_stopping:
--- a/tests/wire/operators/test_front.py
+++ b/tests/wire/operators/test_front.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from bench.faults.settings import VARIABLE, FaultSettings
 from lockspoke.lifecycle.bans_file import read_bans, write_bans
 from tests.lifecycle.support import run
 from tests.standins import Client, FakeDiscovery, FakeReplica, Program, request_bytes, until
@@ -153,3 +154,19 @@
 def test_a_failure_to_write_bans_is_only_logged(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     write_bans(tmp_path / "missing" / "n1.bans.json", ["s-1"])
     assert "bans_write_failed" in capsys.readouterr().out
+
+
+@run
+async def test_a_ban_that_was_accepted_is_stored_once_the_disk_works_again() -> None:
+    """Otherwise the next version would send requests to a replica that operators have taken out of use."""
+    faults = FaultSettings(disk_share=1.0, disk_period=12.0)  # fails for the first three seconds
+    env = {VARIABLE: faults.encode()}
+    async with (
+        FakeReplica() as replica,
+        Program(replica, operator=True, module="bench.faults", env=env) as program,
+    ):
+        assert await operate(program, f"replicas/s-{replica.port}/offline") == 200
+        file = Path(program.folder.name, "t1.bans.json")
+        assert not file.exists(), "the disk fails now"
+        await until(file.exists)
+        assert read_bans(file) == [f"s-{replica.port}"]
