--- a/bench/faults/machine.py
+++ b/bench/faults/machine.py
@@ -37,7 +37,8 @@
 
     def fails() -> bool:
         phase = (time.monotonic() - began_at) % settings.disk_period / settings.disk_period
-        return phase < FAILING_PART and draws.random() < settings.disk_share
+        fails_now = settings.disk_phase <= phase < settings.disk_phase + FAILING_PART
+        return fails_now and draws.random() < settings.disk_share
 
     def write_or_fail(descriptor: int, data: Any) -> int:
         if descriptor <= 2 or not fails():  # the log is no file of the store
--- a/bench/faults/settings.py
+++ b/bench/faults/settings.py
@@ -23,6 +23,7 @@
     wall_step_at: float = 0.0
     disk_share: float = 0.0  # write, fsync, ftruncate and replace, while the disk fails
     disk_period: float = 4.0  # the disk fails for a quarter of this time, again and again
+    disk_phase: float = 0.0  # where in its period it begins to fail, from 0 to 0.75
 
     def encode(self) -> str:
         """The text for the environment variable."""
