A file that cannot be opened for a moment does not count as gone

What callers saw: a batch that failed for good with file_not_found though its file was there. Cause: every OSError of the open (EMFILE, ENFILE, EIO) was taken for a missing file. Class: an error that is caught as something else. Change: only FileNotFoundError means that the file is gone; others are tried again. Evidence and result: three new cases in tests/batch/test_deleted_input.py failed before, pass now.

--- a/lockspoke/batch/lines.py
+++ b/lockspoke/batch/lines.py
@@ -56,7 +56,7 @@
         """
         try:
             file = self.store.path(batch.input_file_id).open("rb")
-        except OSError:
+        except FileNotFoundError:
             raise file_error("file_not_found", "The input file is gone.") from None
         with file:
             return index_input_file(file, batch.endpoint, self.max_lines)
--- a/tests/batch/test_deleted_input.py
+++ b/tests/batch/test_deleted_input.py
@@ -17,6 +17,7 @@
 import errno
 import json
 from pathlib import Path
+from typing import Any
 
 import pytest
 
@@ -157,3 +158,29 @@
         assert batch.status is BatchStatus.COMPLETED
 
     harness.run(scenario)
+
+
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.EIO])
+def test_a_file_that_cannot_be_opened_for_a_moment_does_not_count_as_gone(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: int
+) -> None:
+    """The batch would have failed for good, though its file is there."""
+    monkeypatch.setattr(tasks, "WRITE_RETRY_INTERVAL", 0.05)
+    harness = Harness(tmp_path)
+    opened = Path.open
+    failures = [error]
+
+    def open_later(path: Path, mode: str = "r") -> Any:
+        if failures and path.parent.name == "files" and mode == "rb":
+            raise OSError(failures.pop(), "injected")
+        return opened(path, mode)
+
+    async def scenario() -> None:
+        batch = await harness.begin_batch(*lines(1))
+        monkeypatch.setattr(Path, "open", open_later)
+        await until(lambda: len(harness.in_flight()) == 1)
+        harness.serve(harness.in_flight()[0])
+        await until(lambda: batch.is_final)
+        assert batch.status is BatchStatus.COMPLETED and not failures
+
+    harness.run(scenario)
