Inventory: a cached list that could not be written is written again each second

What callers saw: after a disk that failed for a while, a restart without files began with a list from before the failure. Cause: a failed write was logged; the next one came with the next change. Class: an error that is caught and goes no further, while what was accepted is still owed. Change: CacheWriter tries again a second after a write that failed. Evidence and result: the test of an unwritable folder now makes the folder writable and waits for the list; it timed out before, passes now.

--- a/lockspoke/inventory/cache_writer.py
+++ b/lockspoke/inventory/cache_writer.py
@@ -7,12 +7,14 @@
 from concurrent.futures import Executor
 
 WRITE_INTERVAL = 0.2  # seconds between two writes
+RETRY_INTERVAL = 1.0  # seconds after a write that failed
 
 
 class CacheWriter:
     """Coalesces requests to write: one write covers all requests before it."""
 
-    def __init__(self, write: Callable[[], None], executor: Executor) -> None:
+    def __init__(self, write: Callable[[], bool], executor: Executor) -> None:
+        """`write` returns whether the state was stored; otherwise it is tried again."""
         self._write = write
         self._executor = executor
         self._running = False
@@ -46,7 +48,8 @@
         try:
             while self._pending:
                 self._pending = False
-                await asyncio.get_running_loop().run_in_executor(self._executor, self._write)
-                await asyncio.sleep(WRITE_INTERVAL)
+                stored = await asyncio.get_running_loop().run_in_executor(self._executor, self._write)
+                self._pending = self._pending or not stored
+                await asyncio.sleep(WRITE_INTERVAL if stored else RETRY_INTERVAL)
         finally:
             self._task = None
--- a/lockspoke/inventory/source.py
+++ b/lockspoke/inventory/source.py
@@ -282,10 +282,14 @@
         if self.settings.keep and self._loaded is not None:
             self._cache_writer.request()
 
-    def _write_cache(self) -> None:
-        """Write the cached list and the status. Runs in a thread: a large list takes long to encode."""
+    def _write_cache(self) -> bool:
+        """Write the cached list and the status. Runs in a thread: a large list takes long to encode.
+
+        Returns:
+            Whether they are stored, or there is nothing to store.
+        """
         if not self.settings.keep or self._loaded is None:
-            return
+            return True
         folder = Path(self.settings.keep)
         data = store.encode(list(self.reconciler.known.values()), self._loaded.snapshot.fingerprint)
         try:
@@ -294,6 +298,8 @@
             store.write_atomically(folder, json.dumps(self.status(), indent=1).encode(), store.STATUS_NAME)
         except OSError as error:
             log.error("inventory_cache_write_failed", folder=self.settings.keep, reason=str(error))
+            return False
+        return True
 
 
 def _error_lines(snapshot: Snapshot) -> str:
