A request that takes several reads keeps the time for which it waited to be accepted

What callers saw: a deadline passed on that is longer than what is left, where a request of more than one read waited in the kernel's queue with its connection. Cause: only the first bytes of a connection took the time in the queue into account; the request's time began at its last read. Change: it counts until the first request is complete, and for later requests from their first read on, by the system's record of the last data. The test with a body of 40 kB passed on 2999 ms where 2000 were left; both cases pass now, three times.

--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -34,7 +34,7 @@
 MAX_PIPELINED_REQUESTS = 4  # read ahead of the response; the platform's clients send one at a time
 FIRST_BYTE_TIMEOUT_SECONDS = 2.25  # for a new connection
 REQUEST_TIMEOUT_SECONDS = 2.25  # from a request's first byte to its last
-MIN_TIME_IN_QUEUE_SECONDS = 0.02  # that a connection waited to be accepted, for its requests' time to count
+MIN_KERNEL_WAIT_SECONDS = 0.02  # that bytes can have waited to be read, for the system to be asked
 LINGER_SECONDS = 1.0  # that a connection stays open after its last response, for the client to close
 LINGER_MAX_BYTES = 256 * 1024  # discarded after a malformed request, past which reading stops
 STALL_TIMEOUT_SECONDS = 20.0  # for a client that takes nothing of its response
@@ -82,6 +82,7 @@
         self.pipelined: deque[ReceivedRequest | HttpError] = deque()  # to be answered in this order
         self.open_request: ClientRequest | None = None  # submitted to the core, not answered yet
         self.has_received = False  # whether a byte has ever arrived
+        self._has_received_request = False  # a complete one
         self.close_reason: CloseReason | None = None
         self.phase = ConnectionPhase.SERVING
         # Set once the service address of the connection has moved to another instance.
@@ -171,6 +172,7 @@
             arrived_at = self._earliest_arrival()
             requests = self.assembler.feed(data)
             self.pipelined.extend(ReceivedRequest(request, arrived_at) for request in requests)
+            self._has_received_request = self._has_received_request or bool(requests)
             if self.assembler.take_expect_continue():
                 self.outgoing.write(encode_head(100, {}))
         except HttpError as error:
@@ -179,16 +181,16 @@
     def _earliest_arrival(self) -> int:
         """When the bytes that were just read can have come, by the core's clock.
 
-        The first ones may have waited in the kernel together with their connection.
+        The first request may have waited in the kernel together with its connection, and one that takes
+        several reads may have been there in full before the first of them.
         """
         clock = self.front.core.clock
         arrived_at = clock.earliest_arrival()
-        if self.has_received:
+        waiting_since = self.active_at if self._has_received_request else self.queued_since
+        possible_wait = asyncio.get_running_loop().time() - waiting_since
+        if possible_wait < MIN_KERNEL_WAIT_SECONDS:
             return arrived_at
-        in_queue = asyncio.get_running_loop().time() - self.queued_since
-        if in_queue < MIN_TIME_IN_QUEUE_SECONDS:
-            return arrived_at
-        waited = min(in_queue, seconds_since_last_data(self.stream.socket))
+        waited = min(possible_wait, seconds_since_last_data(self.stream.socket))
         return min(arrived_at, clock.now() - int(waited * SECOND))
 
     def _limit_pipelining(self) -> None:
--- a/tests/lifecycle/test_requests_on_idle_connections.py
+++ b/tests/lifecycle/test_requests_on_idle_connections.py
@@ -8,6 +8,8 @@
 import time
 from collections.abc import AsyncIterator
 
+import pytest
+
 from tests.standins import (
     EVENTS,
     ROOT,
@@ -61,9 +63,13 @@
 TIME_IN_QUEUE = 1.0  # seconds
 
 
-@run
-async def test_the_time_of_a_request_runs_while_its_connection_waits_to_be_accepted() -> None:
+@pytest.mark.parametrize("body", [b"{}", b"x" * 40_000], ids=["one read", "several reads"])
+def test_the_time_of_a_request_runs_while_its_connection_waits_to_be_accepted(body: bytes) -> None:
     """Its client counts from when it was written."""
+    asyncio.run(send_more_requests_than_connections(body))
+
+
+async def send_more_requests_than_connections(body: bytes) -> None:
     go = asyncio.Event()
 
     async def script(writer: asyncio.StreamWriter) -> None:
@@ -76,7 +82,7 @@
         program = await stack.enter_async_context(Program(replica, sockets=SOCKETS))
         clients = [await stack.enter_async_context(Client(program.port)) for _ in range(CLIENTS + 2)]
         responses = [
-            asyncio.ensure_future(client.request(request_bytes(number, DEADLINE_MS)))
+            asyncio.ensure_future(client.request(request_bytes(number, DEADLINE_MS, body=body)))
             for number, client in enumerate(clients, 1)
         ]
         sent_at = time.monotonic()
