Soak: answers to a process that has ended notify nobody; a break keeps what has come

Also found by reading: an injected break discarded bytes that the system would have returned first. Change: an answer counts for the process that asked for it, and is not written once that has ended; recv fails only where nothing has come.

--- a/bench/faults/network.py
+++ b/bench/faults/network.py
@@ -92,8 +92,13 @@
 
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Receive some of what has come, or fail."""
-        self._break()
-        return int(super().recv_into(buffer, self.draws.size(nbytes or len(buffer)), flags))
+        size = self.draws.size(nbytes or len(buffer))
+        try:
+            received = int(super().recv_into(buffer, size, flags))
+        except BlockingIOError:
+            self._break()  # only behind what has come: the system returns that first
+            raise
+        return received
 
     def send(self, data: Any, flags: int = 0) -> int:
         """Send some of the bytes, or fail."""
--- a/bench/soak/discovery.py
+++ b/bench/soak/discovery.py
@@ -105,6 +105,7 @@
 
     async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
         """Answer a request for the list, or hold it until something changes."""
+        gateway = self.gateway  # its process may have ended by the time of the answer
         if time.monotonic() < self.unreachable_until:
             writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
             return
@@ -124,7 +125,8 @@
         if time.monotonic() < self.unreachable_until:
             writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
             return
-        self._write(listed, writer)
+        if gateway == self.gateway:
+            self._write(listed, writer)
 
     async def _wait_for_change(self, hold: float) -> None:
         with suppress(TimeoutError):
