Accept: after a failure of a moment the next try comes after a millisecond

What callers saw: answers 0.65 to 0.82 s after their time (lost), where one accept in six fails and a crowd reconnects. Cause: each failure of the system held back the whole queue for 50 ms, so that some 110 connections a second were accepted, and a request waited behind the crowd past its deadline. Class: a fixed pause that adds up under faults that come often. Change: the pause begins with 1 ms and doubles up to 50 ms; an accepted connection sets it back.

--- a/lockspoke/wire/tcp/acceptor.py
+++ b/lockspoke/wire/tcp/acceptor.py
@@ -10,7 +10,9 @@
 from lockspoke.rate_limited_log import RateLimitedLog
 
 MAX_ACCEPTS_PER_TURN = 16  # of the event loop, so that everything else goes on between them
-RETRY_DELAY_SECONDS = 0.05  # after a failure of the system, such as too many open files
+# After a failure of the system, such as too many open files; doubled with each further one.
+MIN_RETRY_DELAY_SECONDS = 0.001
+MAX_RETRY_DELAY_SECONDS = 0.05
 # Errors of the connection that was to be accepted, as Linux documents them: the next one is not affected.
 CONNECTION_ERRORS = frozenset(
     {
@@ -42,6 +44,7 @@
         self._waiting_since: float | None = None
         self._listening = listening
         self._serve = serve
+        self._retry_delay = MIN_RETRY_DELAY_SECONDS
         self._retry: asyncio.TimerHandle | None = None  # while it waits after a failure of the system
         self._failure_log = RateLimitedLog("accept_failed")
 
@@ -85,13 +88,16 @@
         """
         while True:
             try:
-                return self._listening.accept()[0]
+                accepted, _ = self._listening.accept()
             except BlockingIOError:
                 self._waiting_since = None
                 return None
             except OSError as error:
                 if error.errno not in CONNECTION_ERRORS:
                     raise
+            else:
+                self._retry_delay = MIN_RETRY_DELAY_SECONDS
+                return accepted
 
     def _accept_some(self) -> None:
         self._note_waiting()
@@ -110,7 +116,8 @@
         self._failure_log.info(loop.time(), reason=str(error))
         # The socket stays ready: watched on, it would keep the event loop turning.
         self._unwatch()
-        self._retry = loop.call_later(RETRY_DELAY_SECONDS, self._watch)
+        self._retry = loop.call_later(self._retry_delay, self._watch)
+        self._retry_delay = min(2 * self._retry_delay, MAX_RETRY_DELAY_SECONDS)
 
     def accept_waiting(self, has_capacity: Callable[[], bool]) -> bool:
         """Accept the connections in the kernel's queue while there is capacity, paused or not.
