--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -132,7 +132,8 @@
             yield Violation(
                 "deadline",
                 f"request {attempt.request_id}: {attempt.deadline_ms} ms passed on by {request.gateway}, "
-                f"{remaining_ms:.0f} ms left to the client, {DEADLINE_SLACK_MS} ms of slack",
+                f"{remaining_ms:.0f} ms left to the client, {DEADLINE_SLACK_MS} ms of slack; sent at "
+                f"{request.sent_at:.3f} s, read by replica {attempt.replica} at {attempt.began_at:.3f} s",
             )
 
 
