--- a/bench/soak/discovery.py
+++ b/bench/soak/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 import time
 from contextlib import suppress
 from typing import Any
@@ -11,6 +12,7 @@
 from lockspoke.wire.http.messages import Request
 from tests.standins import Server
 
+from .cuts import Writer, draw_writer
 from .observations import DrainNotified, Observations
 from .replicas import SoakReplica
 
@@ -57,7 +59,7 @@
 class SoakDiscovery(Server):
     """Discovery as one gateway reaches it."""
 
-    def __init__(self, replicas: ReplicaList, seen: Observations) -> None:
+    def __init__(self, replicas: ReplicaList, seen: Observations, cuts: random.Random | None = None) -> None:
         super().__init__()
         self.gateway = ""  # the process of the gateway that asks now
         self.unreachable_until = 0.0  # answers 503 until then
@@ -65,6 +67,7 @@
         self._silent_since: float | None = None  # when a watch fell silent that nothing was written since
         self._list = replicas
         self._observations = seen
+        self._cuts = cuts  # where answers end at any byte
         # By replica: its incarnation that has ended, and since when discovery could have said so.
         self._pending: dict[int, tuple[int, float]] = {}
 
@@ -126,19 +129,21 @@
             writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
             return
         if gateway == self.gateway:
-            self._write(listed, writer)
+            self._write(listed, draw_writer(self._cuts, writer))
 
     async def _wait_for_change(self, hold: float) -> None:
         with suppress(TimeoutError):
             async with asyncio.timeout(hold):
                 await self._list.changed.wait()
 
-    def _write(self, listed: dict[str, Any], writer: asyncio.StreamWriter) -> None:
+    def _write(self, listed: dict[str, Any], writer: Writer) -> None:
         if writer.is_closing():
             return
-        self._silent_since = None
         body = json.dumps(listed).encode()
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        if writer.is_closing():
+            return  # it was cut: what it says has not been told
+        self._silent_since = None
         for index, (incarnation, _) in list(self._pending.items()):
             if self._list.states[index] != "up" or self._list.replicas[index].incarnation > incarnation:
                 del self._pending[index]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -13,7 +13,7 @@
 
 from .schedule import GATEWAYS, Disturbance, Step
 
-CONCERNS = ("network", "clock", "holds", "crowd")
+CONCERNS = ("network", "clock", "holds", "crowd", "cuts")
 HOLD_TIME = 0.15  # seconds for which a gateway is held up
 MAX_HOLD_INTERVAL = 3.0  # seconds between two of them
 WALL_STEPS = (-3600.0, -5.0, 5.0, 3600.0)  # seconds
@@ -34,6 +34,7 @@
     steps: tuple[Step, ...] = ()
     reconnecting: int = 0  # connections of a crowd, for each gateway
     sockets: int = 1024  # descriptors of each gateway
+    cuts: bool = False  # whether answers of replicas and of discovery end at any byte
 
 
 def draw_plan(seed: int, seconds: float, concerns: Collection[str]) -> FaultPlan:
@@ -51,7 +52,7 @@
     if "crowd" in concerns:
         size = random.Random(f"{seed}:reconnecting crowd").choice(CROWD_SIZES)
         plan = replace(plan, reconnecting=size, sockets=CROWD_SOCKETS)
-    return plan
+    return replace(plan, cuts="cuts" in concerns)
 
 
 def _network(source: random.Random, settings: FaultSettings) -> FaultSettings:
--- a/bench/soak/replicas.py
+++ b/bench/soak/replicas.py
@@ -13,6 +13,7 @@
 from lockspoke.wire.http.request_parser import RequestParser
 from tests.standins import STREAM_HEAD, STREAM_TAIL, Server, chunk
 
+from .cuts import Writer, draw_writer
 from .observations import AttemptSeen, Observations
 
 EVENT_INTERVAL = 0.02  # seconds
@@ -43,13 +44,14 @@
 class SoakReplica(Server):
     """One replica; an incarnation begins whenever it is started anew."""
 
-    def __init__(self, index: int, seed: int, seen: Observations) -> None:
+    def __init__(self, index: int, seed: int, seen: Observations, cuts: random.Random | None = None) -> None:
         super().__init__()
         self.index = index
         self.incarnation = 0
         self.boot_ms = 0
         self._draws = random.Random(f"{seed}:replica {index}")
         self._observations = seen
+        self._cuts = cuts  # where answers end at any byte
 
     def restart(self) -> None:
         """Begin a new incarnation at the same address; connections of the old one are reset."""
@@ -72,7 +74,7 @@
                 for piece in parser.feed(data):
                     if isinstance(piece, RequestHead):
                         attempt = self._record(piece, incarnation, writer)
-                        await self._answer(attempt, writer)
+                        await self._answer(attempt, draw_writer(self._cuts, writer))
         except (ConnectionError, asyncio.CancelledError):
             pass  # the end of the connection, or of the run
         finally:
@@ -94,7 +96,7 @@
         """Unused: requests are answered from their heads."""
         raise NotImplementedError
 
-    async def _answer(self, attempt: AttemptSeen, writer: asyncio.StreamWriter) -> None:
+    async def _answer(self, attempt: AttemptSeen, writer: Writer) -> None:
         behaviour = self._draws.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
         events = self._draws.randint(1, 30)
         breaks_after = self._draws.randint(0, events) if behaviour is not Behaviour.SERVE else events
@@ -110,7 +112,7 @@
     async def _stream(
         self,
         attempt: AttemptSeen,
-        writer: asyncio.StreamWriter,
+        writer: Writer,
         events: int,
         breaks_after: int,
         behaviour: Behaviour,
@@ -121,9 +123,8 @@
             writer.write((STREAM_HEAD if number == 0 else b"") + chunk(_timed_event()))
             await asyncio.sleep(EVENT_INTERVAL)
         if behaviour is Behaviour.SERVE:
+            writer.write(chunk(STREAM_TAIL) + chunk(b""))
             attempt.finished = not writer.is_closing()
-            if attempt.finished:
-                writer.write(chunk(STREAM_TAIL) + chunk(b""))
             return
         if behaviour is Behaviour.HANG:
             await asyncio.sleep(HANG_TIME)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Collection, Iterator
 from contextlib import AsyncExitStack, suppress
@@ -33,9 +34,14 @@
         self._logs = logs
         self._seen = Observations()
         seed = schedule.seed
-        self._replicas = [SoakReplica(index, seed, self._seen) for index in range(REPLICAS)]
+        self._replicas = [
+            SoakReplica(index, seed, self._seen, self._cuts(f"replica {index}")) for index in range(REPLICAS)
+        ]
         self._list = ReplicaList(self._replicas)
-        self._discoveries = [SoakDiscovery(self._list, self._seen) for _ in range(GATEWAYS)]
+        self._discoveries = [
+            SoakDiscovery(self._list, self._seen, self._cuts(f"discovery {index}"))
+            for index in range(GATEWAYS)
+        ]
         self._gateways = [
             SoakGateway(index, seed, discovery, self._list, self._seen, self._plan)
             for index, discovery in enumerate(self._discoveries)
@@ -43,6 +49,9 @@
         self._crowd: list[asyncio.StreamWriter] = []
         self._steps: list[asyncio.Task[None]] = []
 
+    def _cuts(self, name: str) -> random.Random | None:
+        return random.Random(f"{self._schedule.seed}:cuts of {name}") if self._plan.cuts else None
+
     async def play(self) -> Observations:
         """Play to the end."""
         async with AsyncExitStack() as stack:
