A shortage on this machine is waited for when a connection is opened

What callers saw: requests rejected, and breakers open, while the machine lacked descriptors, ports or buffers for a moment. Cause: ENFILE, EMFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL and ENETUNREACH of socket and connect counted as failed connects of the replica, or as a failed poll of discovery. Class: an error that is caught as something else. Change: dial tries again after 2 to 50 ms, until the caller's time is over.

--- a/lockspoke/wire/tcp/dialing.py
+++ b/lockspoke/wire/tcp/dialing.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
 import socket
 from collections.abc import Awaitable, Callable
 
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamClosedError
 
 READ_SIZE = 16 * 1024  # bytes
+# What this machine lacks for a moment: it says nothing about the peer.
+LOCAL_ERRORS = frozenset(
+    {errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENETUNREACH, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
+# After such an error; doubled with each further one.
+MIN_RETRY_DELAY_SECONDS = 0.002
+MAX_RETRY_DELAY_SECONDS = 0.05
 
 Address = tuple[str, int]  # an IP address, and a port
 Dial = Callable[[Address], Awaitable[IOStream]]  # raises OSError or StreamClosedError
@@ -16,10 +25,25 @@
 async def dial(endpoint: Address) -> IOStream:
     """Open a connection that sends small writes at once.
 
+    Where this machine lacks something for another connection it tries again, until it is cancelled: the
+    caller bounds the time.
+
     Raises:
         OSError: The connection cannot be made.
         StreamClosedError: The peer has refused it.
     """
+    delay = MIN_RETRY_DELAY_SECONDS
+    while True:
+        try:
+            return await _dial_once(endpoint)
+        except OSError as error:
+            if _system_error(error) not in LOCAL_ERRORS:
+                raise
+        await asyncio.sleep(delay)
+        delay = min(2 * delay, MAX_RETRY_DELAY_SECONDS)
+
+
+async def _dial_once(endpoint: Address) -> IOStream:
     family = socket.AF_INET6 if ":" in endpoint[0] else socket.AF_INET
     stream = IOStream(socket.socket(family, socket.SOCK_STREAM), read_chunk_size=READ_SIZE)
     try:
@@ -29,3 +53,10 @@
         stream.close()
         raise
     return stream
+
+
+def _system_error(error: OSError) -> int | None:
+    """The number of the system's error; a closed stream holds the one that closed it."""
+    if isinstance(error, StreamClosedError) and isinstance(error.real_error, OSError):
+        return error.real_error.errno
+    return error.errno
