A pause of the process is no longer taken for a fault of the balancer

What callers saw: after a gateway was held up, a request was failed (502, request_overdue) that the balancer would have rejected or retried. Cause: the periodic check for overdue requests was due before the deadline and ran before the balancer's timer at the deadline, with the clock past both. Class: a check against the clock that takes a late turn of the loop for a late decision. Change: the check lets the timers that are due run first.

--- a/lockspoke/core/stream_supervision.py
+++ b/lockspoke/core/stream_supervision.py
@@ -65,8 +65,16 @@
             self._attempts.attempt_ended(stream, Outcome.RESET)
 
     def _check_overdue(self, request: ClientRequest, now: int) -> None:
-        """Fail a request that should have been answered by now, as after a fault of the balancer."""
-        if request.answered or now <= request.deadline + OVERDUE_GRACE:
+        """Fail a request that should have been answered by now, as after a fault of the balancer.
+
+        After a pause of the process this check may come before the balancer's own timers that are due, too:
+        they run first.
+        """
+        if not request.answered and now > request.deadline + OVERDUE_GRACE:
+            self._clock.call_later(0, lambda: self._fail_overdue(request))
+
+    def _fail_overdue(self, request: ClientRequest) -> None:
+        if request.answered or request.streaming_attempt is not None:
             return
         self._requests.complete(request, RequestOutcome.OVERDUE)
         log.error("request_overdue", request=request.number)
--- a/tests/core/test_stream_supervision.py
+++ b/tests/core/test_stream_supervision.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lockspoke.core.stream_supervision import CHECK_INTERVAL, MAX_STREAM_SILENCE, OVERDUE_GRACE
+from lockspoke.core.totals import RequestOutcome
 from lockspoke.units import SECOND
 from tests.core.world import World
 
@@ -51,3 +52,15 @@
     _, response = world.submit(seconds=1)
     world.pass_time(SECOND + OVERDUE_GRACE + 2 * CHECK_INTERVAL)
     assert response.written == ["failed"] and not world.core.requests
+
+
+def test_a_pause_of_the_process_is_no_fault_of_the_balancer() -> None:
+    """The check was due before the deadline and the balancer's timer at it; both come after the pause."""
+    world = World()
+    world.core.start()
+    _, response = world.submit(seconds=1.1)
+    world.pass_time(int(0.99 * SECOND))
+    world.time += int(0.21 * SECOND)
+    world.pass_time(0)
+    assert len(response.written) == 1
+    assert not world.core.totals.request_outcomes[RequestOutcome.OVERDUE]
