--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -44,6 +44,7 @@
     replica_incarnation: int  # counts the restarts of the replica
     began_at: float  # when its first byte was read
     deadline_ms: int
+    complete: bool = True  # the request's last byte has come: before that it has not run
     finished: bool = False  # the whole stream was written
     declined: bool = False  # rejected unseen, so that it has not run
     peer_port: int = 0  # of the gateway's side of the connection
--- a/bench/soak/replicas.py
+++ b/bench/soak/replicas.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import Any
 
-from lockspoke.wire.http.messages import Request, RequestHead
+from lockspoke.wire.http.messages import MessageEnd, Request, RequestHead
 from lockspoke.wire.http.request_parser import RequestParser
 from tests.standins import STREAM_HEAD, STREAM_TAIL, Server, chunk
 
@@ -74,6 +74,8 @@
                 for piece in parser.feed(data):
                     if isinstance(piece, RequestHead):
                         attempt = self._record(piece, incarnation, writer)
+                    elif isinstance(piece, MessageEnd):
+                        attempt.complete = True
                         await self._answer(attempt, draw_writer(self._cuts, writer))
         except (ConnectionError, asyncio.CancelledError):
             pass  # the end of the connection, or of the run
@@ -86,6 +88,7 @@
             replica=self.index,
             replica_incarnation=incarnation,
             began_at=time.monotonic(),
+            complete=False,
             deadline_ms=int(head.headers.get("req-deadline-ms", "0")),
             peer_port=writer.get_extra_info("peername")[1],
         )
--- a/tests/bench/test_soak_judge.py
+++ b/tests/bench/test_soak_judge.py
@@ -79,6 +79,7 @@
     ("chat", lambda seen: replies_at_kill(seen, 0.7)),
     ("chat", second_attempt),
     ("once", lambda seen: second_attempt(seen, declined=True)),
+    ("once", lambda seen: second_attempt(seen, complete=False)),
     ("chat", lambda seen: setattr(seen.attempts[0], "deadline_ms", 3049)),
     ("chat", lambda seen: setattr(seen.requests[ID], "disconnected_at", 9.96)),
     ("chat", lambda seen: setattr(seen.requests[ID], "longest_event_delay", 0.34)),
