Soak: whatever a stand-in does not catch fails its run

Cause: exceptions in the handlers of stand-ins were logged by asyncio and not counted; the cut of a connection that the gateway had closed raised one. Change: the loop's exception handler records them as faults of actors; a closed connection is not cut.

--- a/bench/soak/cuts.py
+++ b/bench/soak/cuts.py
@@ -42,6 +42,8 @@
 
     def _end(self) -> None:
         self._ended = True
+        if self._writer.is_closing():
+            return  # the gateway has closed it
         if self._cut is Cut.HALF_CLOSE:
             self._writer.write_eof()
             return
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -9,6 +9,7 @@
 from contextlib import AsyncExitStack, suppress
 from functools import partial
 from pathlib import Path
+from typing import Any
 
 from .clients import SoakClient
 from .discovery import ReplicaList, SoakDiscovery
@@ -54,6 +55,7 @@
 
     async def play(self) -> Observations:
         """Play to the end."""
+        asyncio.get_running_loop().set_exception_handler(self._note_fault)
         async with AsyncExitStack() as stack:
             for server in (*self._replicas, *self._discoveries):
                 await stack.enter_async_context(server)
@@ -75,6 +77,10 @@
         self._forget_unfinished(ended_at)
         return self._seen
 
+    def _note_fault(self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """Record what a stand-in did not catch."""
+        self._seen.actor_faults.append(f"{context['message']}: {context.get('exception')!r}")
+
     def _clients(self) -> list[SoakClient]:
         seed, seen = self._schedule.seed, self._seen
         return [
