Soak: a connection that the gateway has reset can be cut

Cause, shown by the new test: the half-close of a connection that was reset raises ENOTCONN. Change: it is ignored; the connection has ended.

--- a/bench/soak/cuts.py
+++ b/bench/soak/cuts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import socket
 import struct
@@ -45,7 +46,8 @@
         if self._writer.is_closing():
             return  # the gateway has closed it
         if self._cut is Cut.HALF_CLOSE:
-            self._writer.write_eof()
+            with contextlib.suppress(OSError):  # the gateway has reset it
+                self._writer.write_eof()
             return
         connected = self._writer.get_extra_info("socket")
         connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- /dev/null
+++ b/tests/bench/test_cuts.py
@@ -0,0 +1,33 @@
+"""The cut of a connection that the gateway has reset already raises nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from bench.soak.cuts import Cut, CutWriter
+
+
+@pytest.mark.parametrize("cut", list(Cut))
+def test_a_connection_that_was_reset_can_be_cut(cut: Cut) -> None:
+    async def scenario() -> None:
+        result: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+        async def serve(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            client.close()  # the reset has come; the event loop has not seen it
+            try:
+                CutWriter(writer, 0, cut).write(b"x")
+                result.set_result(None)
+            except OSError as error:
+                result.set_exception(error)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        client = socket.create_connection(server.sockets[0].getsockname())
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        await result
+        server.close()
+
+    asyncio.run(scenario())
