--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,87 +1,136 @@
-"""Lines of a batch whose class may run once at most, and answers of replicas that get lost."""
+"""Replicas that send a second answer some milliseconds behind the first, and what the next client gets."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import random
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from batch_client import BatchClient, batch_edge, gateway_config, input_line  # noqa: E402
 from rig import (  # noqa: E402
     BROKEN,
     HELD,
-    SECOND,
+    STREAM_HEAD,
     TROUBLE,
     Discovery,
     Gateway,
     Record,
     Replica,
     Run,
+    chunk,
+    completion,
     free_port,
+    http,
     run_case,
     settings,
 )
 
-LINES = 40
-LOST_EVERY = 10  # One in ten requests that the replicas have run loses its answer to a reset.
-PROFILES = [
-    {"name": "docs", "effect": "free", "aim": SECOND, "deadline": 4 * SECOND, "stream": True},
-    {"name": "bulk", "effect": "single_shot", "aim": 4 * SECOND, "deadline": 12 * SECOND, "stream": True},
-]
+SECONDS = 45.0
+CLIENTS = 24
+PAUSE = (
+    0.3  # Seconds, in the mean, from a client's answer to its next request: some tens of requests a second.
+)
+SPOILT_EVERY = 10  # One in ten answers has a second one behind it.
+LATE_BY = 0.012  # Seconds from the end of an answer to the second one.
+
+
+def answer_to(request_id: str) -> list[bytes]:
+    """The chunks of the stream that answers a request, whose text names the request."""
+    text = f"this is the answer to {request_id}"
+    events = [
+        {"choices": [{"index": 0, "delta": {"content": text}, "finish_reason": None}]},
+        {"choices": [{"index": 0, "delta": {"content": ""}, "finish_reason": "stop"}]},
+        {"choices": [], "usage": {"prompt_tokens": 9, "completion_tokens": 2}},
+    ]
+    lines = [json.dumps(event).encode() for event in events] + [b"[DONE]"]
+    return [chunk(b"data: " + line + b"\n\n") for line in lines]
+
+
+async def stream(run: Run, writer: asyncio.StreamWriter) -> None:
+    """Send one answer as it is made."""
+    writer.write(STREAM_HEAD)
+    for piece in answer_to(run.request_id):
+        await asyncio.sleep(0.01)
+        writer.write(piece)
+    writer.write(chunk(b""))
 
 
 async def case(folder: Path, record: Record, gateways: list[Gateway]) -> int:
-    """Run one batch to its end, and count how often each of its lines was run."""
-    begun = 0
-
-    async def lose_some_answers(run: Run, writer: asyncio.StreamWriter) -> bool:
-        nonlocal begun
-        begun += 1
-        if not TROUBLE or begun % LOST_EVERY:
-            return False
-        await asyncio.sleep(0.05)
-        writer.transport.abort()
-        run.outcome = "run, but its connection was reset before the answer"
+    """Let clients ask for a while, and compare each answer with the request."""
+    ended, sent = 0, 0
+    answers: Counter[str] = Counter()
+    foreign: list[str] = []
+
+    async def answer(run: Run, writer: asyncio.StreamWriter) -> bool:
+        nonlocal ended
+        await stream(run, writer)
+        await writer.drain()
+        run.outcome = "answered in full"
+        ended += 1
+        if TROUBLE and ended % SPOILT_EVERY == 0:
+            await asyncio.sleep(LATE_BY)
+            writer.write(STREAM_HEAD + b"".join(answer_to(run.request_id)) + chunk(b""))
+            run.outcome = f"answered in full, and again {LATE_BY * 1000:g} ms later"
         return True
 
-    replicas = [Replica(f"s-{number}", before=lose_some_answers) for number in range(3)]
+    replicas = [Replica(f"s-{number}", before=answer) for number in range(3)]
     discovery = Discovery(replicas)
     for server in (*replicas, discovery):
         await server.start()
-    port, batch_port = free_port(), free_port()
-    config = gateway_config(port, discovery, settings(profiles=PROFILES))
-    gateway = Gateway(folder, "n1", config, batch_edge(folder, batch_port))
+    port = free_port()
+    config = {
+        "name": "n1",
+        "listen": f"127.0.0.1:{port}",
+        "discovery": f"127.0.0.1:{discovery.port}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": discovery.complete(),
+        "settings": settings(),
+    }
+    gateway = Gateway(folder, "n1", config)
     await gateway.start()
     gateways.append(gateway)
     await gateway.wait_until_up(port)
 
-    client = BatchClient(batch_port, record)
-    lines = [input_line(f"order-{number}", f"place order {number}") for number in range(LINES)]
-    batch = await client.create_batch(lines, "10m")
-    final = await client.wait_until_final(batch, 60.0)
-    results = await client.results(final)
-    for line in sorted(results):
-        record(f"result of {line}: {results[line]}")
-
-    runs: dict[str, list[Run]] = {}
-    for run in sorted((run for replica in replicas for run in replica.runs), key=lambda run: run.at):
-        order = json.loads(run.body)["messages"][0]["content"].removeprefix("place ").replace(" ", "-")
-        runs.setdefault(order, []).append(run)
-        record(f"{run.replica} ran {order} as request {run.request_id}: {run.outcome}", run.at)
-    repeated = {order: len(each) for order, each in runs.items() if len(each) > 1}
-    counts = Counter(len(each) for each in runs.values())
-    record(f"lines by the number of their runs: {dict(sorted(counts.items()))}")
-    if repeated:
-        record.conclude(f"BROKEN: {len(repeated)} of {LINES} lines ran more than once: {repeated}")
+    async def ask(pauses: random.Random) -> None:
+        nonlocal sent
+        while True:
+            await asyncio.sleep(2 * PAUSE * pauses.random())
+            sent += 1
+            request_id, sent_at = f"{sent:016x}", time.monotonic()
+            body = json.dumps({"messages": [{"role": "user", "content": request_id}]}).encode()
+            got = await http(port, "POST", "/v1/chat/completions", body, completion(request_id), 6.0)
+            whole = got.status == 200 and got.complete
+            answers[f"{got.status}{'' if got.complete else ', cut off'}"] += 1
+            if whole and f"answer to {request_id}".encode() not in got.body:
+                foreign.append(request_id)
+                record(f"the client of {request_id} got, with 200 and whole: {got.body[:110]!r}", sent_at)
+
+    seeds = [random.Random(number) for number in range(CLIENTS)]  # noqa: S311
+    clients = [asyncio.ensure_future(ask(pauses)) for pauses in seeds]
+    await asyncio.sleep(SECONDS)
+    for client in clients:
+        client.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await client
+    outcomes = Counter(run.outcome for replica in replicas for run in replica.runs)
+    record(f"the replicas ran {sum(outcomes.values())} requests: {dict(outcomes)}")
+    record(f"{sent} requests were sent; answers by status: {dict(answers)}")
+    if foreign:
+        record.conclude(
+            f"BROKEN: {len(foreign)} of {sent} clients got the answer to another client's request"
+        )
         return BROKEN
-    record.conclude(f"held: {len(runs)} lines ran, each once")
+    record.conclude(f"held: each of {answers['200']} whole answers was the one to its request")
     return HELD
 
 
 if __name__ == "__main__":
-    run_case(case, HERE, 100.0)
+    run_case(case, HERE, 90.0)
