--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import random
+import re
 import sys
 import time
 from collections import Counter
@@ -62,24 +63,60 @@
     writer.write(chunk(b""))
 
 
-async def case(folder: Path, record: Record, gateways: list[Gateway]) -> int:
-    """Let clients ask for a while, and compare each answer with the request."""
-    ended, sent = 0, 0
-    answers: Counter[str] = Counter()
-    foreign: list[str] = []
+class LateAnswers:
+    """How the replicas answer: every tenth answer comes again, some milliseconds behind its end."""
+
+    def __init__(self) -> None:
+        self._ended = 0
 
-    async def answer(run: Run, writer: asyncio.StreamWriter) -> bool:
-        nonlocal ended
+    async def __call__(self, run: Run, writer: asyncio.StreamWriter) -> bool:
+        """Answer a request."""
         await stream(run, writer)
         await writer.drain()
         run.outcome = "answered in full"
-        ended += 1
-        if TROUBLE and ended % SPOILT_EVERY == 0:
+        self._ended += 1
+        if TROUBLE and self._ended % SPOILT_EVERY == 0:
             await asyncio.sleep(LATE_BY)
             writer.write(STREAM_HEAD + b"".join(answer_to(run.request_id)) + chunk(b""))
             run.outcome = f"answered in full, and again {LATE_BY * 1000:g} ms later"
         return True
 
+
+class Askers:
+    """Clients that ask again a while after each answer, and compare it with what they asked."""
+
+    def __init__(self, port: int, record: Record) -> None:
+        self.sent = 0
+        self.answers: Counter[str] = Counter()
+        self.foreign: list[str] = []
+        self._port = port
+        self._record = record
+
+    async def ask(self, pauses: random.Random) -> None:
+        """Ask until cancelled."""
+        while True:
+            await asyncio.sleep(2 * PAUSE * pauses.random())
+            await self._ask_once()
+
+    async def _ask_once(self) -> None:
+        self.sent += 1
+        request_id, sent_at = f"{self.sent:016x}", time.monotonic()
+        body = json.dumps({"messages": [{"role": "user", "content": request_id}]}).encode()
+        headers = completion(request_id)
+        got = await http(self._port, "POST", "/v1/chat/completions", body, headers, 6.0)
+        self.answers[f"{got.status}{'' if got.complete else ', cut off'}"] += 1
+        named = re.search(rb"answer to ([0-9a-f]{16})", got.body)
+        given = named[1].decode() if named is not None else "none"
+        self._record(
+            f"{request_id} sent; answered {got.status}, whole: {got.complete}, answer to {given}", sent_at
+        )
+        if got.status == 200 and got.complete and given != request_id:
+            self.foreign.append(f"{request_id} got the answer to {given}")
+
+
+async def case(folder: Path, record: Record, gateways: list[Gateway]) -> int:
+    """Let clients ask for a while, and see whether each gets the answer to its own request."""
+    answer = LateAnswers()
     replicas = [Replica(f"s-{number}", before=answer) for number in range(3)]
     discovery = Discovery(replicas)
     for server in (*replicas, discovery):
@@ -99,36 +136,27 @@
     gateways.append(gateway)
     await gateway.wait_until_up(port)
 
-    async def ask(pauses: random.Random) -> None:
-        nonlocal sent
-        while True:
-            await asyncio.sleep(2 * PAUSE * pauses.random())
-            sent += 1
-            request_id, sent_at = f"{sent:016x}", time.monotonic()
-            body = json.dumps({"messages": [{"role": "user", "content": request_id}]}).encode()
-            got = await http(port, "POST", "/v1/chat/completions", body, completion(request_id), 6.0)
-            whole = got.status == 200 and got.complete
-            answers[f"{got.status}{'' if got.complete else ', cut off'}"] += 1
-            if whole and f"answer to {request_id}".encode() not in got.body:
-                foreign.append(request_id)
-                record(f"the client of {request_id} got, with 200 and whole: {got.body[:110]!r}", sent_at)
-
+    askers = Askers(port, record)
     seeds = [random.Random(number) for number in range(CLIENTS)]  # noqa: S311
-    clients = [asyncio.ensure_future(ask(pauses)) for pauses in seeds]
+    clients = [asyncio.ensure_future(askers.ask(pauses)) for pauses in seeds]
     await asyncio.sleep(SECONDS)
     for client in clients:
         client.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await client
+
+    for run in sorted((run for replica in replicas for run in replica.runs), key=lambda run: run.at):
+        record(f"{run.replica} ran {run.request_id}: {run.outcome}", run.at)
+    for line in askers.foreign:
+        record(f"with 200 and to the last chunk, {line}")
     outcomes = Counter(run.outcome for replica in replicas for run in replica.runs)
     record(f"the replicas ran {sum(outcomes.values())} requests: {dict(outcomes)}")
-    record(f"{sent} requests were sent; answers by status: {dict(answers)}")
-    if foreign:
-        record.conclude(
-            f"BROKEN: {len(foreign)} of {sent} clients got the answer to another client's request"
-        )
+    record(f"{askers.sent} requests were sent; answers by status: {dict(askers.answers)}")
+    if askers.foreign:
+        found = f"{len(askers.foreign)} of {askers.sent}"
+        record.conclude(f"BROKEN: {found} clients got the answer to another client's request")
         return BROKEN
-    record.conclude(f"held: each of {answers['200']} whole answers was the one to its request")
+    record.conclude(f"held: each of {askers.answers['200']} whole answers was the one to its request")
     return HELD
 
 
