--- a/review/rig.py
+++ b/review/rig.py
@@ -435,10 +435,13 @@
     temporary = Path(tempfile.mkdtemp(prefix="lockspoke-case-"))
 
     async def bounded() -> int:
+        if (task := asyncio.current_task()) is not None:
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(limit):
                 return await case(temporary, record, gateways)
-        except Exception as error:  # A fault of the case must not look like a broken rule.
+        # A fault of the case, or its end by SIGTERM, must not look like a broken rule.
+        except (Exception, asyncio.CancelledError) as error:
             record.conclude(f"could not run: {error!r}")
             return COULD_NOT_RUN
         finally:
