A connection to a replica carries one request: no late second response meets another

Cause: the pool took a connection on which nothing had come for 10 ms after a response for clean and sent the next request on it.

Change: only connections on which nothing was sent are kept idle; a request says "Connection: close", and its connection is closed after the response. Bytes that have come before the first byte of a request end the attempt as not sent; they were read as its response where the attempt waited for permission.

--- a/lockspoke/balancing/attempt_results.py
+++ b/lockspoke/balancing/attempt_results.py
@@ -101,7 +101,7 @@
     def _record_failure(self, now: int, replica: TrackedReplica, event: AttemptEnded) -> bool:
         """Count a failure; return whether it opened a closed breaker."""
         breaker, state_before = replica.breaker, replica.breaker.state
-        if event.outcome in CONNECTION_FAILURES and not event.connection_reused:
+        if event.outcome in CONNECTION_FAILURES and not event.connection_was_idle:
             breaker.record_failure(now, may_open=True, weight=CONNECTION_FAILURE_WEIGHT)
         else:
             breaker.record_failure(now, may_open=self._another_breaker_may_open())
--- a/lockspoke/balancing/events.py
+++ b/lockspoke/balancing/events.py
@@ -109,7 +109,7 @@
     cached_tokens: int = 0  # Prompt tokens that the replica found in its cache.
     load_report: tuple[float, ...] = ()  # The values that the replica reported; empty if there was no report.
     # The attempt was sent on an idle connection, which even a healthy replica may just have closed.
-    connection_reused: bool = False
+    connection_was_idle: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/lockspoke/core/attempt_lifecycle.py
+++ b/lockspoke/core/attempt_lifecycle.py
@@ -188,7 +188,7 @@
                 request.answered,
                 cached_tokens,
                 load_report,
-                attempt.connection_reused,
+                attempt.connection_was_idle,
             )
         )
         self._requests.forget_if_finished(request)
--- a/lockspoke/core/requests.py
+++ b/lockspoke/core/requests.py
@@ -124,7 +124,7 @@
     start_by: int = 0  # the first byte must be sent before this time; 0: only the deadline applies
     stage: AttemptStage = AttemptStage.CONNECTING
     outcome: Outcome | None = None  # None while the attempt is open
-    connection_reused: bool = False
+    connection_was_idle: bool = False  # the replica may have closed it before the request
     last_received_at: int = 0  # when data last arrived, or when reading was last resumed
     deadline_timer: TimerHandle | None = None  # None if it is not running
     backpressure: asyncio.Future[None] | None = None  # if set, reading is paused until it is done
--- a/lockspoke/wire/replicas/connection.py
+++ b/lockspoke/wire/replicas/connection.py
@@ -12,29 +12,33 @@
 
 
 class ReplicaConnection(ReadAhead):
-    """A connection to one replica, used by one attempt at a time."""
+    """A connection to one replica, which carries a single request.
+
+    A response does not name its request, and a replica may repeat one at any later time. So whatever arrives
+    on a connection that has carried a request cannot be told from the response to a second one.
+    """
 
     def __init__(self, replica: Replica, stream: IOStream) -> None:
         super().__init__(stream)
         self.replica = replica
         self.endpoint = replica.endpoint
-        self.idle_since = 0.0  # When it was last released, in seconds of the event loop's clock.
-        self.idle_duration = 0.0  # How many seconds it was idle before the current attempt; 0 if it is new.
-        self.response_started = False  # Whether a byte of the current response has been read.
+        # When it was opened, by the event loop's clock. To the replica it has been idle since then.
+        self.opened_at = asyncio.get_running_loop().time()
+        self.idle_duration = 0.0  # For how many seconds it was kept before its attempt; 0 if it is new.
+        self.response_started = False  # Whether a byte of the response has been read.
 
     @property
-    def reused(self) -> bool:
-        """Whether the connection was idle before this attempt: the replica may have closed it then."""
+    def was_idle(self) -> bool:
+        """Whether the connection was idle before its attempt: the replica may have closed it then."""
         return self.idle_duration > 0.0
 
     @property
-    def reusable(self) -> bool:
+    def is_usable(self) -> bool:
         """Whether the replica is ready at the same address, and the connection open without unread input."""
         return (
             self.replica.state == ReplicaState.READY
             and self.replica.endpoint == self.endpoint
-            and not self.pending.done()
-            and not self.stream.closed()
+            and not self.has_unread
         )
 
     async def read(self) -> bytes:
--- a/lockspoke/wire/replicas/connection_pool.py
+++ b/lockspoke/wire/replicas/connection_pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 
 from tornado.iostream import StreamClosedError
 
@@ -15,22 +14,20 @@
 from .errors import ConnectError, ConnectionLimitError
 from .keepalive import MIN_IDLE_TIMEOUT_SECONDS, KeepAlive
 
-# A connection is not reused for this long after a response, so that unexpected bytes after it are detected.
-SETTLE_TIME_SECONDS = 0.01
 # Fraction of the replicas' idle timeout, so that the gateway closes a connection before the replica does.
 IDLE_TIMEOUT_SHARE = 0.8
 
 
 class ConnectionPool:
-    """Opens connections to replicas and keeps them idle between attempts.
+    """Opens connections to replicas, and keeps those that no request was sent on.
 
-    The caller calls `release` or `close` exactly once for each connection that `acquire` returns.
+    The caller calls `release_unused` or `close` exactly once for each connection that `acquire` returns.
     """
 
     def __init__(self, connect_timeout: int, keepalive: int, max_connections: int, dial: Dial) -> None:
         self.open_connections = 0
-        # The idle connections by replica number; the most recently used is last.
-        self.idle: dict[int, deque[ReplicaConnection]] = {}
+        # The idle connections by replica number.
+        self.idle: dict[int, list[ReplicaConnection]] = {}
         # The idle timeouts in seconds, by replica number, for replicas that close idle connections early.
         self._learned_idle_timeouts: dict[int, float] = {}
         self._dial = dial
@@ -74,32 +71,31 @@
             raise
 
     def _take_idle(self, replica: Replica) -> ReplicaConnection | None:
-        """Return the most recently used idle connection to a replica; close those with unexpected bytes."""
-        connections = self.idle.get(replica.number, deque())
-        settled_before = asyncio.get_running_loop().time() - SETTLE_TIME_SECONDS
-        for connection in [one for one in reversed(connections) if one.idle_since <= settled_before]:
-            connections.remove(connection)
-            if not connection.has_unread:
-                connection.idle_duration = asyncio.get_running_loop().time() - connection.idle_since
-                connection.response_started = False
+        """Return an idle connection to a replica; close those that are not usable any more."""
+        connections = self.idle.get(replica.number, [])
+        while connections:
+            connection = connections.pop()
+            if connection.is_usable:
+                connection.idle_duration = asyncio.get_running_loop().time() - connection.opened_at
                 return connection
             self.close(connection)
         return None
 
     def _evict(self) -> None:
-        """Close the connection that has been idle longest, of any replica."""
-        queues = [queue for queue in self.idle.values() if queue]
-        if not queues:
+        """Close the connection that has been idle longest, to any replica."""
+        idle = [connection for connections in self.idle.values() for connection in connections]
+        if not idle:
             raise ConnectionLimitError
-        self.close(min(queues, key=lambda queue: queue[0].idle_since).popleft())
+        oldest = min(idle, key=lambda connection: connection.opened_at)
+        self.idle[oldest.replica.number].remove(oldest)
+        self.close(oldest)
 
-    def release(self, connection: ReplicaConnection) -> None:
-        """Keep a connection idle for a later attempt, or close it if it cannot be reused."""
-        if not connection.reusable:
+    def release_unused(self, connection: ReplicaConnection) -> None:
+        """Keep a connection that no request was sent on for a later attempt; close it if it is unusable."""
+        if not connection.is_usable:
             self.close(connection)
             return
-        connection.idle_since = asyncio.get_running_loop().time()
-        self.idle.setdefault(connection.replica.number, deque()).append(connection)
+        self.idle.setdefault(connection.replica.number, []).append(connection)
 
     def close(self, connection: ReplicaConnection) -> None:
         """Close a connection that is not idle."""
@@ -119,8 +115,9 @@
         idle_timeout = self.keep_alive.idle_timeout(now)
         for number, connections in list(self.idle.items()):
             cutoff = now - min(idle_timeout, self._learned_idle_timeouts.get(number, idle_timeout))
-            while connections and connections[0].idle_since <= cutoff:
-                self.close(connections.popleft())
+            for connection in [one for one in connections if one.opened_at <= cutoff]:
+                connections.remove(connection)
+                self.close(connection)
             if not connections:
                 del self.idle[number]
 
@@ -135,13 +132,13 @@
         self.keep_alive.record_rejected_connection(asyncio.get_running_loop().time())
 
     def record_stale_connection(self, connection: ReplicaConnection) -> None:
-        """Record that a reused connection broke during a request: the replica closes idle ones early.
+        """Record that an idle connection broke under its request: the replica closes idle ones early.
 
         The replica's other idle connections have been idle as long or longer and are closed. From then on,
         its connections may be idle for at most half the time that this one was.
         """
         replica = connection.replica
-        if not connection.reused or replica.state == ReplicaState.REMOVED:
+        if not connection.was_idle or replica.state == ReplicaState.REMOVED:
             return
         self.close_idle(replica)
         idle_timeout = self._learned_idle_timeouts.get(replica.number, self.keep_alive.max_idle_timeout)
--- a/lockspoke/wire/replicas/exchange.py
+++ b/lockspoke/wire/replicas/exchange.py
@@ -29,7 +29,6 @@
     outcome: Outcome
     cached_tokens: int = 0  # The number of prompt tokens that the replica found in its cache.
     load_report: str = ""  # The load report as the replica sent it; empty if it sent none.
-    connection_reusable: bool = False
     # Whether the response violated HTTP or the event stream format, or its first event was late.
     malformed: bool = False
 
@@ -54,7 +53,8 @@
             now: nanoseconds since the Unix epoch, from which the replica's deadline is computed.
 
         Raises:
-            ConnectError: the connection broke before the complete request was written.
+            ConnectError: the connection broke before the complete request was written, or bytes had arrived
+                on it before the first byte of the request was.
         """
         await self._send_request(now)
         try:
@@ -64,10 +64,14 @@
             return self._result_of_error(error)
 
     async def _send_request(self, now: int) -> None:
+        if self._connection.has_unread:
+            # What arrives before the request is no response to it, even if it looks like one.
+            raise ConnectError
         request = self._attempt.request
         headers = dict(request.headers)
         headers["Req-Id"] = request.request_id
         headers["Req-Deadline-Ms"] = str(max(1, (self._attempt.deadline - now) // MILLISECOND))
+        headers["Connection"] = "close"
         try:
             await self._connection.stream.write(
                 encode_request(request.method, request.target, headers, request.body)
@@ -94,12 +98,7 @@
                     if backpressure is not None:
                         await asyncio.wait([backpressure])
             if complete and self._head is not None:
-                return ReplicaResponse(
-                    self._outcome,
-                    event_stream.cached_tokens,
-                    self._load_report(),
-                    connection_reusable=self._head.keep_alive and self._parser.ended_cleanly,
-                )
+                return ReplicaResponse(self._outcome, event_stream.cached_tokens, self._load_report())
 
     def _parse(self, received: bytes) -> tuple[bytes, bool]:
         """Parse received bytes; return the body bytes in them, and whether they end the response."""
--- a/lockspoke/wire/replicas/transport.py
+++ b/lockspoke/wire/replicas/transport.py
@@ -99,17 +99,17 @@
             await self._run_on_connection(connection, attempt)
 
     async def _run_on_connection(self, connection: ReplicaConnection, attempt: Attempt) -> None:
-        """Run an attempt on a connection, which is released or closed afterwards."""
+        """Run an attempt on a connection, which is closed afterwards unless nothing was sent on it."""
         released = False
         try:
-            attempt.connection_reused = connection.reused
+            attempt.connection_was_idle = connection.was_idle
             if not await _wait_for_permission(attempt):
-                self.pool.release(connection)
+                self.pool.release_unused(connection)
                 released = True
                 return
             self.active_connections[attempt] = connection
             response = await Exchange(connection, attempt).run(self._now())
-            released = self._finish_exchange(connection, response)
+            self._record_response(connection, response)
             load_report = decode_load_report(response.load_report, self._load_report_fields)
             attempt.end(response.outcome, response.cached_tokens, load_report)
         except ConnectError:
@@ -122,18 +122,14 @@
             if not released:
                 self.pool.close(connection)
 
-    def _finish_exchange(self, connection: ReplicaConnection, response: ReplicaResponse) -> bool:
-        """Record what a response shows about its connection; return whether the pool took it back."""
+    def _record_response(self, connection: ReplicaConnection, response: ReplicaResponse) -> None:
+        """Record what a response shows about its connection and its replica."""
         if response.malformed:
             self.malformed_responses += 1
-        if response.outcome is Outcome.OVERLOADED and not connection.reused:
+        if response.outcome is Outcome.OVERLOADED and not connection.was_idle:
             self.pool.record_rejected_connection()
-        if response.connection_reusable:
-            self.pool.release(connection)
-            return True
         if response.outcome is Outcome.RESET and not connection.response_started:
             self.pool.record_stale_connection(connection)
-        return False
 
     @staticmethod
     def _fail(attempt: Attempt) -> None:
