A drain that follows a repeated list on the watch's connection is applied

Where discovery repeats a list after the next watch was written and a drain follows within 0.1 s, the drain was thrown away; it counts as told once it is written.

Cause: after an unchanged response that came too soon the follower slept for 0.1 s, and the next request closed the connection because of unread bytes, as if no response were due. What was read together with the list was dropped too.

Change: in these 0.1 s it goes on reading, beginning with what was read already, and takes what comes for the response to the same request. A service that answers at once is polled as before. The response parser gives the bytes behind a response (trailing_bytes) in place of ended_cleanly; its test compares them to the byte.

--- a/lockspoke/wire/discovery/connection.py
+++ b/lockspoke/wire/discovery/connection.py
@@ -32,6 +32,10 @@
     """A watch ended without a response, which alone does not mean that discovery is failing."""
 
 
+class NoResponseError(TimeoutError):
+    """No byte of a response has arrived within the time limit."""
+
+
 class DiscoveryConnection:
     """Sends requests to discovery at one address, one at a time."""
 
@@ -39,6 +43,7 @@
         self.endpoint = endpoint
         self._dial = dial
         self._connection: ReadAhead | None = None
+        self._trailing_bytes = b""  # What was read together with the last response, but after it.
         self.awaiting_response = False  # True from writing a request until its response is complete.
         # The time when the last response was complete, by the event loop's clock. It is None before the first
         # response, and again once the next request has been written.
@@ -48,7 +53,7 @@
     @property
     def has_unread_data(self) -> bool:
         """Whether discovery has sent bytes, or closed the connection, after the last complete response."""
-        return self._connection is not None and self._connection.has_unread
+        return self._connection is not None and (bool(self._trailing_bytes) or self._connection.has_unread)
 
     async def request(self, request: EndpointListRequest) -> bytes:
         """Send a request and return the body of its response.
@@ -79,6 +84,28 @@
         finally:
             self.awaiting_response = False
 
+    async def read_further_response(self, seconds: float) -> bytes | None:
+        """Wait this many seconds for another response, although none is due; return its body, or None.
+
+        If the last response did not belong to its request, the one that does is still to come.
+
+        Raises:
+            EndpointListError: The status of the response is not 200.
+        """
+        if self._connection is None:
+            await asyncio.sleep(seconds)
+            return None
+        self.awaiting_response = True
+        try:
+            return await self._read_response(self._connection, asyncio.get_running_loop().time() + seconds)
+        except NoResponseError:
+            return None
+        except (StreamClosedError, TimeoutError, OSError, HttpError):
+            self.close()
+            return None
+        finally:
+            self.awaiting_response = False
+
     async def _exchange(self, request: EndpointListRequest) -> bytes:
         loop = asyncio.get_running_loop()
         deadline = loop.time() + RESPONSE_TIMEOUT_SECONDS
@@ -110,16 +137,20 @@
         The read is never cancelled, so that bytes that arrive just at the deadline are not lost.
         """
         loop, reader = asyncio.get_running_loop(), ResponseReader()
+        received, self._trailing_bytes = self._trailing_bytes, b""
         while True:
-            await asyncio.wait([connection.pending], timeout=max(0.0, deadline - loop.time()))
-            if not connection.has_unread:
-                raise TimeoutError("no data within the time limit")
+            if not received:
+                await asyncio.wait([connection.pending], timeout=max(0.0, deadline - loop.time()))
+                if not connection.has_unread:
+                    raise NoResponseError("no data within the time limit")
+                received = await connection.read()
             if not reader.started:
                 deadline = loop.time() + RESPONSE_TIMEOUT_SECONDS
-            body = reader.feed(await connection.read())
+            body, received = reader.feed(received), b""
             if body is not None:
                 self._responded_at = loop.time()
-                if not reader.reusable:
+                self._trailing_bytes = reader.trailing_bytes
+                if not reader.keep_alive:
                     self.close()
                 return body
             if loop.time() > deadline:
@@ -130,3 +161,4 @@
         if self._connection is not None:
             self._connection.stream.close()
             self._connection = None
+            self._trailing_bytes = b""
--- a/lockspoke/wire/discovery/follower.py
+++ b/lockspoke/wire/discovery/follower.py
@@ -20,7 +20,7 @@
 )
 from .messages import EndpointListRequest
 
-UNCHANGED_RETRY_DELAY_SECONDS = 0.1  # Delay after a watch that got an early response without changes.
+UNCHANGED_RETRY_DELAY_SECONDS = 0.1  # Delay after a watch that got a premature response.
 
 log = structlog.get_logger()
 
@@ -102,10 +102,13 @@
                 may_watch = False
                 continue
             response, may_watch = await self._process(request, body)
-            is_unchanged = request.is_watch and response.update.version == request.version
-            if is_unchanged and loop.time() - requested_at < request.hold_ms / 2000:
-                # Avoids a tight loop of requests to a service that keeps responding at once.
-                await asyncio.sleep(UNCHANGED_RETRY_DELAY_SECONDS)
+            while _is_premature(request, response, loop.time() - requested_at):
+                # Avoids a tight loop of requests to a service that keeps responding at once. If this was a late
+                # repetition of the last response, the one to this request may arrive at any moment.
+                further = await self._connection.read_further_response(UNCHANGED_RETRY_DELAY_SECONDS)
+                if further is None:
+                    break
+                response, may_watch = await self._process(request, further)
             # Otherwise the next request is written in the same iteration of the event loop, because discovery
             # counts a change between a response and the next request as notified.
 
@@ -147,3 +150,18 @@
             return False
         self._last_list_empty = False
         return True
+
+
+def _is_premature(request: EndpointListRequest, response: EndpointListResponse, elapsed: float) -> bool:
+    """Return whether a watch got a response without changes long before the end of its hold.
+
+    Discovery holds a watch until there is a newer version or the hold ends, so such a response may belong to
+    an earlier request.
+
+    Args:
+        request: The request.
+        response: The response that was read after it.
+        elapsed: Seconds from the request to the response.
+    """
+    is_unchanged = request.is_watch and response.update.version == request.version
+    return is_unchanged and elapsed < request.hold_ms / 2000
--- a/lockspoke/wire/discovery/messages.py
+++ b/lockspoke/wire/discovery/messages.py
@@ -39,7 +39,8 @@
 
     def __init__(self) -> None:
         self.started = False  # Whether any byte of the response has arrived.
-        self.reusable = False  # Whether the connection can carry another request after this response.
+        self.keep_alive = False  # Whether the connection stays open after this response.
+        self.trailing_bytes = b""  # What has arrived after this response.
         self._parser = ResponseParser()
         self._body = bytearray()
         self._head: ResponseHead | None = None
@@ -60,7 +61,8 @@
                 if len(self._body) > MAX_LIST_SIZE_BYTES:
                     raise HttpError(502, f"endpoint list larger than {MAX_LIST_SIZE_BYTES} bytes")
             elif isinstance(piece, MessageEnd) and self._head is not None:
-                self.reusable = self._head.keep_alive and self._parser.ended_cleanly
+                self.keep_alive = self._head.keep_alive
+                self.trailing_bytes = self._parser.trailing_bytes
                 if self._head.status != 200:
                     raise EndpointListError(f"status {self._head.status}")
                 return bytes(self._body)
--- a/lockspoke/wire/http/response_parser.py
+++ b/lockspoke/wire/http/response_parser.py
@@ -26,9 +26,9 @@
         self._interim_responses = 0
 
     @property
-    def ended_cleanly(self) -> bool:
-        """Whether the response is complete and no bytes have arrived after it."""
-        return self._state is ParserState.DONE and not self._buffer
+    def trailing_bytes(self) -> bytes:
+        """The bytes that have arrived after the complete response; empty before it is complete."""
+        return bytes(self._buffer) if self._state is ParserState.DONE else b""
 
     def _read_head(self, parts: list[MessagePart]) -> bool:
         # Checked from the first byte: otherwise input without a line end is buffered until the deadline.
--- a/tests/wire/http/test_response_parser.py
+++ b/tests/wire/http/test_response_parser.py
@@ -29,7 +29,7 @@
         parts += parser.feed(piece)
     assert join_chunks(parts) == join_chunks(ResponseParser().feed(message))
     assert join_chunks(parts).count("end") == 1
-    assert parser.ended_cleanly is not bool(trailing)
+    assert parser.trailing_bytes == trailing
 
 
 @pytest.mark.parametrize(
--- a/tests/wire/test_drain_rule.py
+++ b/tests/wire/test_drain_rule.py
@@ -287,6 +287,27 @@
     run_scenario(test)
 
 
+@pytest.mark.parametrize(
+    "delay", [None, 0.0, 0.03, 0.5], ids=["read together", "at once", "soon", "after the next request"]
+)
+def test_a_drain_behind_a_late_second_response_is_applied(delay: float | None) -> None:
+    """Guards against: a drain that discovery had written was discarded as bytes behind a repeated list."""
+
+    async def test(setup: DrainScenario) -> None:
+        peer_connection = await setup.start_watch()
+        repeated = list_response(1)  # The next request is out already.
+        if delay is None:
+            peer_connection.send(repeated + setup.drain_of_first)
+        else:
+            peer_connection.send(repeated)
+            await asyncio.sleep(delay)
+            peer_connection.send(setup.drain_of_first)
+        await until(lambda: setup.listed_state("w0") is ReplicaState.DRAINING)
+        await peer_connection.read_until(b"from=2&")  # The same connection goes on.
+
+    run_scenario(test)
+
+
 def test_a_response_of_the_former_service_does_not_end_the_poll_of_the_new_one() -> None:
     """Regression: it counted as the response to the failed poll, so the list was not polled again."""
 
