--- a/lockspoke/inventory/parser_process.py
+++ b/lockspoke/inventory/parser_process.py
@@ -55,6 +55,7 @@
     def __init__(self) -> None:
         self._running: _RunningProcess | None = None
         self._starting: asyncio.Task[_RunningProcess] | None = None
+        self._reading = asyncio.Lock()  # Responses do not name their request, so one read uses the pipes.
         self._decoder = msgspec.msgpack.Decoder(SnapshotPart)
 
     def start_early(self) -> None:
@@ -67,11 +68,21 @@
         """Have the process read the sources.
 
         For a record that equals one of `previous`, the snapshot has that object. Raises ParserProcessError;
-        the next request then starts a new process.
+        the next request then starts a new process. So it does after a read that was cancelled.
         """
+        async with self._reading:
+            return await self._read_or_close(settings, zones, previous)
+
+    async def _read_or_close(
+        self, settings: InventorySettings, zones: tuple[str, ...], previous: Mapping[str, ReplicaRecord]
+    ) -> Snapshot:
+        """Read; unless that succeeds, kill the process, so that no response is left for the next read."""
         try:
             async with asyncio.timeout(READ_TIMEOUT_SECONDS):
                 return await self._read(settings, zones, previous)
+        except asyncio.CancelledError:
+            self.close()
+            raise
         except (OSError, EOFError, TimeoutError, msgspec.MsgspecError, ValueError) as error:
             self.close()
             raise ParserProcessError(f"{type(error).__name__}: {error}") from None
--- a/lockspoke/wire/discovery/follower.py
+++ b/lockspoke/wire/discovery/follower.py
@@ -103,8 +103,8 @@
                 continue
             response, may_watch = await self._process(request, body)
             while _is_premature(request, response, loop.time() - requested_at):
-                # Avoids a tight loop of requests to a service that keeps responding at once. If this was a late
-                # repetition of the last response, the one to this request may arrive at any moment.
+                # Avoids a tight loop of requests to a service that keeps responding at once. If this was the
+                # last response once more, the one to this request may arrive at any moment.
                 further = await self._connection.read_further_response(UNCHANGED_RETRY_DELAY_SECONDS)
                 if further is None:
                     break
