--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -114,6 +114,18 @@
     return request.ended_at - request.sent_at > request.deadline_ms / 1000 + ANSWER_SLACK + SLACK
 
 
+def _foreign_responses(observations: Observations) -> Iterator[Violation]:
+    """No client gets events of the response to another request."""
+    for request in observations.requests.values():
+        foreign = request.answered_ids - {request.request_id}
+        if foreign:
+            yield Violation(
+                "lost",
+                f"request {request.request_id} at {request.gateway}, sent at {request.sent_at:.3f} s, got "
+                f"the response to {', '.join(sorted(foreign))}",
+            )
+
+
 def _duplicates(observations: Observations) -> Iterator[Violation]:
     """No request that must not be repeated may have run twice."""
     ran: dict[str, int] = defaultdict(int)
@@ -187,6 +199,7 @@
     _stand_in_failures,
     _drains,
     _answers,
+    _foreign_responses,
     _duplicates,
     _deadlines,
     _disconnected_clients,
--- a/bench/soak/clients.py
+++ b/bench/soak/clients.py
@@ -13,7 +13,7 @@
 from lockspoke.wire.http.response_parser import ResponseParser
 from tests.standins import request_bytes
 
-from .events import EventDelays
+from .events import EventReader
 from .observations import Observations, ObservedRequest, ReplyKind
 
 DEADLINES_MS = {"chat": 3000, "once": 2000}
@@ -154,7 +154,7 @@
         self, reader: asyncio.StreamReader, connected: socket.socket, request: ObservedRequest
     ) -> tuple[ReplyKind, bool]:
         """Read a reply to its end; returns its kind and whether the connection may be used again."""
-        parser, head, delays = ResponseParser(), None, EventDelays()
+        parser, head, events = ResponseParser(), None, EventReader()
         while True:
             data, was_reset = b"", False
             try:
@@ -172,8 +172,9 @@
                 if head is not None and isinstance(piece, MessageEnd):
                     return _reply_kind(head), head.keep_alive
                 if isinstance(piece, BodyChunk):
-                    delays.feed(piece.data, read_at)
-                    request.longest_event_delay = delays.longest
+                    events.feed(piece.data, read_at)
+                    request.longest_event_delay = events.longest_delay
+                    request.answered_ids = events.request_ids
 
 
 def is_half_closed(connected: socket.socket) -> bool:
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -33,6 +33,7 @@
     disconnected_at: float | None = None  # when the client closed its connection
     sent_after_sigterm: float | None = None  # seconds; None if sent before the gateway's SIGTERM
     longest_event_delay: float = 0.0
+    answered_ids: set[str] = field(default_factory=set)  # of the requests that the events of its reply answer
 
 
 @dataclass(slots=True)
--- a/bench/soak/replicas.py
+++ b/bench/soak/replicas.py
@@ -3,18 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
 import time
 from enum import Enum
-from typing import Any
 
 from lockspoke.wire.http.messages import MessageEnd, Request, RequestHead
 from lockspoke.wire.http.request_parser import RequestParser
 from tests.standins import STREAM_HEAD, STREAM_TAIL, Server, chunk
 
 from .cuts import Writer, draw_writer
+from .events import encode_event
 from .observations import Observations, ObservedAttempt
+from .repeats import ResponseRepeater
 
 EVENT_INTERVAL = 0.02  # seconds between two events of a stream
 READ_SIZE = 65536
@@ -45,7 +45,12 @@
     """One replica; each restart begins a new incarnation."""
 
     def __init__(
-        self, index: int, seed: int, observations: Observations, cut_rng: random.Random | None = None
+        self,
+        index: int,
+        seed: int,
+        observations: Observations,
+        cut_rng: random.Random | None = None,
+        repeat_rng: random.Random | None = None,
     ) -> None:
         super().__init__()
         self.index = index
@@ -54,6 +59,8 @@
         self._rng = random.Random(f"{seed}:replica {index}")
         self._observations = observations
         self._cut_rng = cut_rng  # None: answers are never cut
+        # None: responses are never repeated
+        self._repeater = ResponseRepeater(repeat_rng) if repeat_rng is not None else None
 
     def restart(self) -> None:
         """Begin a new incarnation at the same address; connections of the old one are reset."""
@@ -79,6 +86,8 @@
                     elif isinstance(piece, MessageEnd):
                         attempt.complete = True
                         await self._answer(attempt, draw_writer(self._cut_rng, writer))
+                        if attempt.finished and self._repeater is not None:
+                            self._repeater.response_ended(writer, _complete_response(attempt.request_id))
         except (ConnectionError, asyncio.CancelledError):
             pass  # the connection or the run has ended
         finally:
@@ -125,7 +134,8 @@
         for number in range(events):
             if number == fails_after or writer.is_closing():
                 break
-            writer.write((STREAM_HEAD if number == 0 else b"") + chunk(_timestamped_event()))
+            event = encode_event(time.monotonic(), attempt.request_id)
+            writer.write((STREAM_HEAD if number == 0 else b"") + chunk(event))
             await asyncio.sleep(EVENT_INTERVAL)
         if behaviour is Behaviour.SERVE:
             writer.write(chunk(STREAM_TAIL) + chunk(b""))
@@ -136,7 +146,7 @@
         writer.transport.abort()
 
 
-def _timestamped_event() -> bytes:
-    """An event that contains the time at which it is written."""
-    event: dict[str, Any] = {"choices": [{"index": 0, "delta": {"content": repr(time.monotonic())}}]}
-    return b"data: " + json.dumps(event).encode() + b"\n\n"
+def _complete_response(request_id: str) -> bytes:
+    """A response with one event."""
+    event = encode_event(time.monotonic(), request_id)
+    return STREAM_HEAD + chunk(event) + chunk(STREAM_TAIL) + chunk(b"")
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -36,7 +36,9 @@
         self._observations = Observations()
         seed = schedule.seed
         self._replicas = [
-            SoakReplica(index, seed, self._observations, self._cut_rng(f"replica {index}"))
+            SoakReplica(
+                index, seed, self._observations, self._cut_rng(f"replica {index}"), self._repeat_rng(index)
+            )
             for index in range(REPLICAS)
         ]
         self._list = ReplicaList(self._replicas)
@@ -54,6 +56,10 @@
     def _cut_rng(self, name: str) -> random.Random | None:
         return random.Random(f"{self._schedule.seed}:cuts of {name}") if self._plan.cuts else None
 
+    def _repeat_rng(self, replica: int) -> random.Random | None:
+        seed = self._schedule.seed
+        return random.Random(f"{seed}:repeats of replica {replica}") if self._plan.repeats else None
+
     async def execute(self) -> Observations:
         """Run the schedule to its end."""
         asyncio.get_running_loop().set_exception_handler(self._record_unhandled_error)
--- a/tests/bench/test_soak_clients.py
+++ b/tests/bench/test_soak_clients.py
@@ -10,7 +10,7 @@
 import pytest
 
 from bench.soak.clients import GatewayProcess, SoakClient
-from bench.soak.events import EventDelays
+from bench.soak.events import EventReader
 from bench.soak.observations import Observations, ReplyKind
 from tests.standins import until
 
@@ -74,7 +74,7 @@
         b'data: {"choices":[{"index":0,"delta":{},"finish_reason":"stop"}]}\n\n'
         b'data: {"choices":[],"usage":{"prompt_tokens":9}}\n\ndata: [DONE]\n\n'
     )
-    delays = EventDelays()
+    events = EventReader()
     for start in range(0, len(stream), size):
-        delays.feed(stream[start : start + size], 10.5)
-    assert delays.longest == 0.5
+        events.feed(stream[start : start + size], 10.5)
+    assert events.longest_delay == 0.5
