Half a character or a huge deadline in one line leaves no batch without answers

The huge number raised OverflowError where it was divided as a float.

Change: encode_json is the batch front's one encoder; a value that UTF-8 cannot hold is written in ASCII with escapes. The number of a prompt's prefix takes such strings too. Deadlines are compared as whole numbers.

Tests: two in tests/batch/test_runner.py, both failed before; tests/batch, golden, core, docs: 575 passed.

--- a/lockspoke/batch/batch_run.py
+++ b/lockspoke/batch/batch_run.py
@@ -39,9 +39,10 @@
         """The Unix time at which the line expires: the batch's deadline or its own, whichever is earlier."""
         batch_deadline = float(self.batch.expires_at)
         own = self.index.deadlines_ms.get(line)
-        if own is None:
+        # Compared as whole numbers: a client's number may be too large for a float.
+        if own is None or own >= (self.batch.expires_at - self.batch.created_at) * MILLISECONDS_PER_SECOND:
             return batch_deadline
-        return min(batch_deadline, self.batch.created_at + own / MILLISECONDS_PER_SECOND)
+        return self.batch.created_at + own / MILLISECONDS_PER_SECOND
 
     def take_next_to_start(self) -> int | None:
         """The next line to attempt; None if no line is left or the batch is being cancelled."""
--- a/lockspoke/batch/connection.py
+++ b/lockspoke/batch/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import socket
 from contextlib import suppress
 
@@ -18,6 +17,7 @@
 
 from .application import BatchApplication
 from .errors import ApiError
+from .json_text import SPACED, encode_json
 from .messages import ApiRequest, FileResponse, JsonResponse, RequestBody, Response
 
 FORM_OVERHEAD = 256 * 1024  # bytes that a form may have in addition to the content of its file
@@ -131,7 +131,7 @@
 
     async def _send_json(self, response: JsonResponse, keep_alive: bool, method: str) -> None:
         headers = {"Content-Type": "application/json", **response.headers}
-        body = json.dumps(response.members, ensure_ascii=False).encode()
+        body = encode_json(response.members, SPACED)
         await self.stream.write(encode_response(response.status, body, headers, keep_alive, method))
 
     async def _send_error(self, error: ApiError, keep_alive: bool, method: str = "GET") -> None:
--- a/lockspoke/batch/journal.py
+++ b/lockspoke/batch/journal.py
@@ -16,6 +16,8 @@
 
 import structlog
 
+from .json_text import encode_json
+
 Record = dict[str, Any]
 
 CHECKSUM_LENGTH = 8  # Each line starts with the hexadecimal digits of a CRC-32.
@@ -29,7 +31,7 @@
 
 
 def _encode_record(record: Record) -> bytes:
-    text = json.dumps(record, separators=(",", ":"), ensure_ascii=False).encode()
+    text = encode_json(record)
     return b"%08x %b\n" % (zlib.crc32(text), text)
 
 
--- a/lockspoke/batch/lines.py
+++ b/lockspoke/batch/lines.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import secrets
 from typing import Any
 
@@ -14,6 +13,7 @@
 
 from .chat_completion import ChatCompletionAssembler, PromptSize, measure_prompt
 from .input_lines import InputIndex, InputLine, LineError, file_error, index_input_file, read_line
+from .json_text import encode_json
 from .records import Batch, LineStatus
 from .results import new_result
 from .store import BatchStore
@@ -93,7 +93,7 @@
                 "Req-Kind": self.class_name,
                 "Req-Extra": _request_extra(prompt, prefix),
             },
-            body=json.dumps(body, ensure_ascii=False, separators=(",", ":")).encode(),
+            body=encode_json(body),
             prefix=key_identifier(prefix),
             prompt_tokens=prompt.tokens,
             prefix_tokens=prompt.prefix_tokens,
--- a/lockspoke/batch/results.py
+++ b/lockspoke/batch/results.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import secrets
 from typing import Any
 
+from .json_text import encode_json
 from .records import LineStatus
 
 # Error codes and messages of lines that were not served.
@@ -35,4 +35,4 @@
 
 def encode_result(result: dict[str, Any]) -> bytes:
     """Encode a result as a line of a result file."""
-    return json.dumps(result, ensure_ascii=False, separators=(",", ":")).encode() + b"\n"
+    return encode_json(result) + b"\n"
--- a/lockspoke/core/identifiers.py
+++ b/lockspoke/core/identifiers.py
@@ -11,7 +11,9 @@
 
 
 def _hash(name: str, size: int) -> int:
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=size).digest(), "big")
+    return int.from_bytes(
+        hashlib.blake2b(name.encode("utf-8", "surrogatepass"), digest_size=size).digest(), "big"
+    )
 
 
 def key_identifier(name: str) -> int:
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -262,3 +262,47 @@
         assert set(harness.results(batch).values()) == {"batch_cancelled"}
 
     harness.run(scenario)
+
+
+HALF_CHARACTER = "\ud83d"  # Half of a surrogate pair: valid JSON as an escape, but not encodable in UTF-8.
+HALF_CHARACTER_EVENT = (
+    b'data: {"choices":[{"index":0,"delta":{"content":"\\ud83d"},"finish_reason":null}]}\n\n'
+)
+
+
+def test_half_a_character_in_one_line_leaves_no_line_without_a_result(tmp_path: Path) -> None:
+    """Guards against: the batch stayed in progress for good, and none of its lines had a result."""
+    harness = Harness(tmp_path)
+    half_in_prompt = {"messages": [{"role": "system", "content": HALF_CHARACTER}, *LINE["body"]["messages"]]}
+
+    async def scenario() -> None:
+        batch = await harness.create_batch(
+            *lines(2), LINE | {"custom_id": "x" + HALF_CHARACTER}, LINE | {"body": half_in_prompt}
+        )
+        while not batch.is_final:
+            for attempt in harness.in_flight():
+                attempt.stream_received(HALF_CHARACTER_EVENT)
+                harness.serve(attempt)
+            await asyncio.sleep(0.01)
+        names = ["c0", "c1", "x" + HALF_CHARACTER, "a"]
+        assert harness.results(batch) == dict.fromkeys(names, "served")
+
+    harness.run(scenario)
+    reopened = BatchStore(tmp_path, harness.now)
+    assert [batch.status for batch in reopened.batches.values()] == [BatchStatus.COMPLETED]
+    reopened.close()
+
+
+def test_a_deadline_beyond_all_numbers_is_that_of_the_batch(tmp_path: Path) -> None:
+    """Guards against: OverflowError kept each line of the batch from running."""
+    harness = Harness(tmp_path)
+
+    async def scenario() -> None:
+        batch = await harness.create_batch(*lines(2, deadline_ms=10**400))
+        while not batch.is_final:
+            for attempt in harness.in_flight():
+                harness.serve(attempt)
+            await asyncio.sleep(0.01)
+        assert harness.results(batch) == {"c0": "served", "c1": "served"}
+
+    harness.run(scenario)
