--- a/tests/wire/replicas/test_late_responses.py
+++ b/tests/wire/replicas/test_late_responses.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from lockspoke.balancing.events import Outcome
 from lockspoke.wire.http.messages import Request
 from tests.peers import Gateway, RawConnection, ScriptedServer
 from tests.standins import (
@@ -83,6 +84,27 @@
     asyncio.run(scenario())
 
 
+def test_bytes_that_arrive_while_an_attempt_waits_are_not_its_response() -> None:
+    """Guards against: what came between taking a connection and the first byte was read as the response."""
+
+    async def scenario() -> None:
+        server = ScriptedServer()
+        async with Gateway(server) as gateway:
+            gateway.has_unread_changes = True  # No attempt may send anything until this is read.
+            client = await gateway.connect_client()
+            client.send(request_bytes(1))
+            first = await server.accept()
+            first.send(response_to("another"))
+            await asyncio.sleep(0.05)
+            gateway.has_unread_changes = False
+            answer = await client.read_until(b"overloaded\n")
+            assert answer.startswith(b"HTTP/1.1 503 ") and b"another" not in answer
+            assert await first.read_to_end() == b"", "nothing was sent on it, so the request has not run"
+            assert gateway.core.totals.attempt_outcomes[Outcome.CONNECT_FAILED] == 1
+
+    asyncio.run(scenario())
+
+
 class RepeatingReplica(FakeReplica):
     """Repeats some of its responses after a delay, while it may be running the next request already."""
 
