A ban given to either version during an upgrade holds in both

Cause: the file of bans was read once, at the start, and a ban of the new version overwrote what the old one had written.

--- a/lockspoke/lifecycle/bans_file.py
+++ b/lockspoke/lifecycle/bans_file.py
@@ -40,26 +40,33 @@
 
 def read_bans(path: Path) -> list[str]:
     """Return the banned replicas; none if there is no file or if it is invalid, which is logged."""
+    return sorted(load_bans(path) or ())
+
+
+def load_bans(path: Path) -> set[str] | None:
+    """Return the banned replicas; None if there is no file or if it is invalid, which is logged."""
     try:
         text = path.read_text()
     except FileNotFoundError:
-        return []
+        return None
     except (OSError, ValueError) as error:
-        return _unreadable(path, str(error))
+        _log_unreadable(path, str(error))
+        return None
     checksum, _, line = text.partition(" ")
     body = line.removesuffix("\n")
     if not body or body == line or _checksum(body) != checksum:
-        return _unreadable(path, "it is cut or changed; delete it")
+        _log_unreadable(path, "it is cut or changed; delete it")
+        return None
     record = json.loads(body)
     if record.get("version") != VERSION:
-        return _unreadable(path, f"version {record.get('version')}, want {VERSION}")
-    return [str(uid) for uid in record["uids"]]
+        _log_unreadable(path, f"version {record.get('version')}, want {VERSION}")
+        return None
+    return {str(uid) for uid in record["uids"]}
 
 
 def _checksum(body: str) -> str:
     return f"{zlib.crc32(body.encode()):08x}"
 
 
-def _unreadable(path: Path, reason: str) -> list[str]:
+def _log_unreadable(path: Path, reason: str) -> None:
     log.error("bans_read_failed", file=str(path), reason=reason)
-    return []
--- a/lockspoke/lifecycle/command_line.py
+++ b/lockspoke/lifecycle/command_line.py
@@ -73,7 +73,7 @@
     bans_file = bans_path(environment, config.name)
     gateway = build_gateway(config, subsystems, bans_file)
     reloader = ConfigReloader(gateway, environment, read_sections)
-    await Program(gateway, reloader, bans_file).run()
+    await Program(gateway, reloader).run()
 
 
 def _section_reader(edge: Path | None, batch: Path | None) -> SectionReader:
--- a/lockspoke/lifecycle/composition.py
+++ b/lockspoke/lifecycle/composition.py
@@ -85,7 +85,7 @@
     list_source.attach(core)
     clients = _client_front(config, core, state, per_side)
     operators = None
-    bans = BanStorage(bans_file, replica_set)
+    bans = BanStorage(bans_file, core)
     if config.operator is not None:
         operators = OperatorFront(OperatorCommands(state, core, clients, bans).execute)
     for subsystem in subsystems:
--- a/lockspoke/lifecycle/operator_commands.py
+++ b/lockspoke/lifecycle/operator_commands.py
@@ -43,9 +43,8 @@
         return "ready"
 
     def _set_banned(self, uid: str, banned: bool) -> None:
-        if not self._core.set_banned(uid, banned):
+        if not self._bans.set_banned(uid, banned):
             raise HttpError(404, f"no list has named {uid[:200]}")
-        self._bans.save()
 
     def _set_out_of_service(self, out_of_service: bool) -> None:
         if self._state.is_stopping:
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -5,11 +5,9 @@
 import asyncio
 import gc
 import signal
-from pathlib import Path
 
 import structlog
 
-from .bans_file import read_bans
 from .composition import Gateway
 from .graceful_shutdown import GracefulShutdown
 from .periodic_checks import PeriodicChecks, log_totals
@@ -22,10 +20,9 @@
 class Program:
     """Runs one gateway in the current event loop."""
 
-    def __init__(self, gateway: Gateway, reloader: ConfigReloader, bans_file: Path) -> None:
+    def __init__(self, gateway: Gateway, reloader: ConfigReloader) -> None:
         self._gateway = gateway
         self._reloader = reloader
-        self._bans_file = bans_file
         self._stop = asyncio.Event()
 
     async def run(self) -> None:
@@ -39,10 +36,13 @@
         for subsystem in self._gateway.subsystems:
             subsystem.start()
         gc.freeze()  # Existing objects live until the exit, so garbage collection can skip them.
-        checks = asyncio.ensure_future(PeriodicChecks(self._gateway).run())
+        tasks = [asyncio.ensure_future(PeriodicChecks(self._gateway).run())]
+        if self._gateway.operators is not None:
+            tasks.append(asyncio.ensure_future(self._gateway.bans.follow_changes()))
         await self._stop.wait()
         await GracefulShutdown(self._gateway).run()
-        checks.cancel()
+        for task in tasks:
+            task.cancel()
         self._close()
 
     def _handle_signals(self) -> None:
@@ -58,7 +58,7 @@
         gateway = self._gateway
         gateway.core.start()
         if gateway.operators is not None:
-            gateway.replica_set.restore_bans(read_bans(self._bans_file))
+            gateway.bans.restore()
         initial_list = gateway.endpoint_list_source.initial_list()
         if initial_list is not None:
             gateway.core.endpoint_list_changed(initial_list, cached=True)
--- a/tests/wire/operators/test_front.py
+++ b/tests/wire/operators/test_front.py
@@ -13,6 +13,8 @@
 from tests.lifecycle.support import run
 from tests.standins import Client, FakeDiscovery, FakeReplica, Program, request_bytes, until
 
+GRACE_SECONDS = 0.25  # After this time a ban must be obeyed.
+
 
 async def send_command(program: Program, path: str, method: str = "POST") -> int:
     """Send one operator request and return the status of its response."""
@@ -140,6 +142,45 @@
             assert len(one.seen) > before
 
 
+@run
+async def test_a_ban_given_to_the_old_version_during_an_upgrade_holds_in_the_new_one() -> None:
+    """Guards against: the new version had read the file at its start, and sent the replica its full share."""
+    async with FakeReplica() as one, FakeReplica() as two, Program(one, two, operator=True) as old:
+        environment = {"NODE_LISTEN": f"127.0.0.1:{old.port}", "TMPDIR": old.folder.name}
+        async with Program(one, two, operator=True, env=environment) as new:
+            assert await send_command(new, "ready", "GET") == 200
+            assert await send_command(old, f"replicas/s-{one.port}/offline") == 200
+            await asyncio.sleep(GRACE_SECONDS)
+            before = len(one.seen)
+            assert await old.terminate() == 0
+            await send_requests(new, 100, 30)
+            assert len(one.seen) == before, "the new version has taken up the ban"
+            # A ban of its own must not undo the one that it has taken up, and a call back ends it.
+            assert await send_command(new, f"replicas/s-{two.port}/offline") == 200
+            assert set(read_bans(Path(old.folder.name, "t1.bans.json"))) == {
+                f"s-{one.port}",
+                f"s-{two.port}",
+            }
+            assert await send_command(new, f"replicas/s-{one.port}/online") == 200
+            await send_requests(new, 200, 10)
+            assert len(one.seen) == before + 10
+
+
+@run
+async def test_a_ban_that_the_old_version_ends_during_an_upgrade_ends_in_the_new_one() -> None:
+    """Guards against: a replica that was put back stayed unused by the new version."""
+    async with FakeReplica() as one, FakeReplica() as two, Program(one, two, operator=True) as old:
+        assert await send_command(old, f"replicas/s-{one.port}/offline") == 200
+        environment = {"NODE_LISTEN": f"127.0.0.1:{old.port}", "TMPDIR": old.folder.name}
+        async with Program(one, two, operator=True, env=environment) as new:
+            assert await send_command(new, "ready", "GET") == 200
+            assert await send_command(old, f"replicas/s-{one.port}/online") == 200
+            await asyncio.sleep(GRACE_SECONDS)
+            assert await old.terminate() == 0
+            await send_requests(new, 100, 60)
+            assert one.seen
+
+
 def test_truncated_or_changed_bans_file_is_ignored(tmp_path: Path) -> None:
     file = tmp_path / "n1.bans.json"
     assert read_bans(file) == []
