Of two states of one host in an inventory the more restrictive one applies

Cause: merging a host's rows let the later value of each variable win, the state's too, against the comment beside it.

Change: of two states the more restrictive one applies in either order, within a file and between files; an unknown one is kept and reported; with merge = "later" a later file still decides.

--- a/lockspoke/inventory/merging.py
+++ b/lockspoke/inventory/merging.py
@@ -30,6 +30,7 @@
     Problem,
     ProblemCollector,
 )
+from .schema import STATE_SYNONYMS, more_restrictive
 
 _CONFLICT_CODES = {"kind": CONFLICTING_KINDS, "zone": CONFLICTING_ZONES}
 
@@ -210,6 +211,7 @@
         for source, host in self.occurrences:
             for key, previous, value in host.conflicts:
                 self._report_conflict(key, previous, value)
+                own[key] = self._applying_value(key, own.get(key), previous)
             first = first_by_file.get(source.file)
             if source.format == "csv" and first is not None:
                 self._report_duplicate(first, host)
@@ -218,9 +220,25 @@
                 earlier = own.get(key)
                 if earlier is not None and earlier.text != value.text and source.file != earlier.place.file:
                     self._report_conflict(key, earlier, value)
-                own[key] = value
+                own[key] = self._applying_value(key, earlier, value)
         self.values.update(own)
 
+    def _applying_value(self, variable: str, former: Value | None, latter: Value) -> Value:
+        """Return the value that applies: of two states the more restrictive one, else the latter.
+
+        The order of rows says nothing about a state: a drain must not end because of a row behind it. Where
+        later files override earlier ones, they do so for the state as well.
+        """
+        if former is None or self.rules.canonical_names.get(variable) != "state":
+            return latter
+        if self.rules.later_wins and former.place.file != latter.place.file:
+            return latter
+        former_state = STATE_SYNONYMS.get(former.text.lower())
+        latter_state = STATE_SYNONYMS.get(latter.text.lower())
+        if former_state is None or latter_state is None:
+            return former if former_state is None else latter  # The unknown state is reported later.
+        return latter if more_restrictive(former_state, latter_state) == latter_state else former
+
     def _report_duplicate(self, first: Host, second: Host) -> None:
         code, message = DUPLICATE_NAME, f"{self.name} stands twice"
         for key, conflict_code in _CONFLICT_CODES.items():
--- a/tests/inventory/test_readers.py
+++ b/tests/inventory/test_readers.py
@@ -335,3 +335,49 @@
         rows[2] = changed
         files = [FileContent("a.csv", ("name,host\n" + "".join(rows)).encode())]
         assert take_snapshot(files, options, cache).snapshot == take_snapshot(files, options).snapshot
+
+
+STATE_ROWS = {
+    "two rows of one file": [("a.csv", "w1,10.0.0.1,{first}\nw1,10.0.0.1,{second}\n")],
+    "two files": [("a.csv", "w1,10.0.0.1,{first}\n"), ("b.csv", "w1,10.0.0.1,{second}\n")],
+}
+
+
+@pytest.mark.parametrize("texts", STATE_ROWS.values(), ids=STATE_ROWS.keys())
+@pytest.mark.parametrize(
+    ("states", "effective"),
+    [(("draining", "up"), "draining"), (("removed", "draining"), "removed"), (("", "drain"), "draining")],
+)
+def test_the_more_restrictive_of_two_states_applies_in_either_order(
+    texts: list[tuple[str, str]], states: tuple[str, str], effective: str
+) -> None:
+    """Guards against: the state that stood last applied, so a drain depended on the order of rows."""
+    for first, second in (states, states[::-1]):
+        files = [
+            FileContent(name, ("name,host,state\n" + text.format(first=first, second=second)).encode())
+            for name, text in texts
+        ]
+        snapshot = take_snapshot(files, ReadOptions(RULES)).snapshot
+        requested = snapshot.requested_states.get("w1")
+        assert (requested or snapshot.replicas["w1"].state) == effective, (first, second)
+
+
+def test_the_later_file_decides_on_the_state_where_later_files_override() -> None:
+    files = [
+        FileContent("a.csv", b"name,host,state\nw1,10.0.0.1,draining\n"),
+        FileContent("b.csv", b"name,host,state\nw1,10.0.0.1,up\n"),
+    ]
+    snapshot = take_snapshot(files, ReadOptions(RULES, later_wins=True)).snapshot
+    assert snapshot.replicas["w1"].state == "up"
+
+
+def test_the_more_restrictive_state_applies_if_one_yaml_file_defines_a_host_twice() -> None:
+    """Two groups of one file may each give variables for the same host."""
+    text = (
+        "all:\n  children:\n"
+        "    one:\n      hosts:\n        w1: {ansible_host: 10.0.0.1, state: draining}\n"
+        "    two:\n      hosts:\n        w1: {ansible_host: 10.0.0.1, state: up}\n"
+    )
+    snapshot = read(text, "hosts.yml").snapshot
+    requested = snapshot.requested_states.get("w1")
+    assert (requested or snapshot.replicas["w1"].state) == "draining"
