A batch line that may have run is tried again only if its class may run twice

Cause: LineRunner tried a failed line again up to `tries` times without looking at its class; each try is a new request to the core, whose own check holds within one request.

Change: ClientRequest.safe_to_repeat; a line is tried again after a failure only if its class is idempotent or nothing of the request may have run. Lines in flight at a kill stay open (roadmap).

--- a/lockspoke/batch/attempt.py
+++ b/lockspoke/batch/attempt.py
@@ -25,6 +25,7 @@
     outcome: AttemptOutcome
     retry_after: int = 0  # The Retry-After of a rejection in nanoseconds; 0 if it had none.
     body: dict[str, Any] = field(default_factory=dict)  # The response; empty unless the attempt was served.
+    repeatable: bool = True  # Whether the line may be attempted again after this one.
 
 
 FAILED_ATTEMPT = AttemptResult(AttemptOutcome.FAILED)
--- a/lockspoke/batch/line_runner.py
+++ b/lockspoke/batch/line_runner.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import structlog
@@ -117,13 +117,16 @@
         """The final status of the line; None if another attempt is due."""
         if result.outcome is AttemptOutcome.SERVED:
             return LineStatus.SERVED
-        return LineStatus.FAILED if history.failures >= self.max_attempts else None
+        has_failed = result.outcome is AttemptOutcome.FAILED and not result.repeatable
+        return LineStatus.FAILED if has_failed or history.failures >= self.max_attempts else None
 
     async def _attempt(self, run: BatchRun, line: int, remaining_seconds: float) -> AttemptResult:
         input_line = self.lines.read(run.batch, run.index.offsets[line])
         response = LineResponse(self.lines.assembler(input_line))
-        self.core.submit(self.lines.request(run.batch, input_line, response, remaining_seconds))
-        return await response.result
+        request = self.lines.request(run.batch, input_line, response, remaining_seconds)
+        self.core.submit(request)
+        result = await response.result
+        return replace(result, repeatable=request.safe_to_repeat)
 
     async def _back_off(self, run: BatchRun, line: int, delay: float) -> bool:
         """Release the slot and wait for the next attempt; False if the program stops first."""
--- a/lockspoke/core/requests.py
+++ b/lockspoke/core/requests.py
@@ -74,6 +74,16 @@
             and self.class_settings.deduplication_scope is DeduplicationScope.ALL
         )
 
+    @property
+    def safe_to_repeat(self) -> bool:
+        """Whether it may be submitted once more under another id: its class may run twice, or it has not run.
+
+        Deduplication by key does not count, because replicas know a request by its id.
+        """
+        if self.class_settings.idempotency is Idempotency.IDEMPOTENT:
+            return True
+        return not any(attempt.may_have_run for attempt in self.attempts)
+
 
 class AttemptStage(Enum):
     """The stages of an open attempt."""
--- a/tests/batch/harness.py
+++ b/tests/batch/harness.py
@@ -55,8 +55,10 @@
 class Harness:
     """A store, a runner, and a core whose attempts the test ends."""
 
-    def __init__(self, folder: Path, concurrency: int = 2, max_attempts: int = 2) -> None:
-        self.core_harness = CoreHarness()
+    def __init__(
+        self, folder: Path, concurrency: int = 2, max_attempts: int = 2, **core_settings: Any
+    ) -> None:
+        self.core_harness = CoreHarness(**core_settings)
         self.clock = 1_000_000.0
         self.store = BatchStore(folder, self.now)
         batch_lines = BatchLines(self.store, "bulk", 0, 12 * SECOND, 100)
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -10,6 +10,7 @@
 import pytest
 
 from lockspoke.balancing.events import Outcome
+from lockspoke.balancing.settings import DeduplicationScope, Idempotency, RequestClass
 from lockspoke.batch.journal import StoreError
 from lockspoke.batch.records import Batch, BatchStatus, LineStatus
 from lockspoke.batch.scheduler import MAX_ENDING_LINES
@@ -306,3 +307,51 @@
         assert harness.results(batch) == {"c0": "served", "c1": "served"}
 
     harness.run(scenario)
+
+
+NOT_REPEATABLE = [
+    RequestClass(idempotency=Idempotency.NOT_IDEMPOTENT),
+    RequestClass(idempotency=Idempotency.IDEMPOTENT_WITH_KEY, deduplication_scope=DeduplicationScope.ZONE),
+]
+
+
+@pytest.mark.parametrize("request_class", NOT_REPEATABLE, ids=["not idempotent", "in one zone"])
+@pytest.mark.parametrize("streams", [False, True], ids=["no answer", "a part of the answer"])
+def test_a_line_that_may_have_run_is_not_run_again_unless_its_class_allows_it(
+    tmp_path: Path, request_class: RequestClass, streams: bool
+) -> None:
+    """Guards against: a line whose answer was lost ran a second time, under another id."""
+    harness = Harness(tmp_path, max_attempts=3, classes=(request_class,))
+
+    async def scenario() -> None:
+        batch = await harness.create_batch(*lines(2))
+        await until(lambda: len(harness.in_flight()) == 2)
+        lost, served = harness.in_flight()
+        if streams:
+            lost.stream_received(EVENTS[0])
+        lost.end(Outcome.RESET)
+        harness.serve(served)
+        await until(lambda: batch.is_final)
+        assert sorted(harness.results(batch).values()) == ["served", "upstream_failed"]
+        assert len(harness.core_harness.started) == 2
+
+    harness.run(scenario)
+
+
+def test_a_line_that_has_not_run_is_attempted_again_whatever_its_class(tmp_path: Path) -> None:
+    harness = Harness(tmp_path, classes=NOT_REPEATABLE[:1])
+
+    async def scenario() -> None:
+        batch = await harness.create_batch(*lines(1))
+        await until(lambda: len(harness.in_flight()) == 1)
+        attempt = harness.in_flight()[0]
+        harness.core_harness.core.transport.cancel(attempt)
+        harness.reject(attempt, retry_after=5 * SECOND)
+        await until(lambda: not harness.runner.slots.in_flight)
+        harness.clock += 6
+        await until(lambda: len(harness.in_flight()) == 1)
+        harness.serve(harness.in_flight()[0])
+        await until(lambda: batch.is_final)
+        assert harness.results(batch) == {"c0": "served"}
+
+    harness.run(scenario)
