--- a/lockspoke/lifecycle/ban_storage.py
+++ b/lockspoke/lifecycle/ban_storage.py
@@ -1,7 +1,7 @@
 """Keeps operators' bans in a file, which the processes of one gateway share during an upgrade.
 
 While a new version starts beside the old one, operators may call either. Each process writes the bans that it
-accepts and takes up those that the other one writes, so that both obey every ban.
+accepts and applies those that the other one writes, so that both obey every ban.
 """
 
 from __future__ import annotations
@@ -42,7 +42,7 @@
 
     def set_banned(self, uid: str, banned: bool) -> bool:
         """Ban a replica or lift its ban, and write the file; False if no list has named the replica."""
-        self.take_up_changes()  # Otherwise the file would lose what the other process has just written.
+        self.apply_changes()  # Otherwise the file would lose what the other process has just written.
         if not self._core.set_banned(uid, banned):
             return False
         self._save()
@@ -59,12 +59,12 @@
             self._save()
 
     async def follow_changes(self) -> None:
-        """Take up what another process writes, until cancelled."""
+        """Apply what another process writes, until cancelled."""
         while True:
             await asyncio.sleep(POLL_INTERVAL)
-            self.take_up_changes()
+            self.apply_changes()
 
-    def take_up_changes(self) -> None:
+    def apply_changes(self) -> None:
         """Apply the bans in the file if it has been replaced since it was last read.
 
         A file that is missing or cannot be read changes nothing, nor does any while this process has bans
@@ -84,7 +84,7 @@
         for uid in current - stored:
             self._core.set_banned(uid, False)
         if stored != current:
-            log.info("bans_taken_up", given=len(stored - current), ended=len(current - stored))
+            log.info("bans_applied", given=len(stored - current), ended=len(current - stored))
 
     def _read_signature(self) -> _Signature | None:
         try:
--- a/tests/batch/harness.py
+++ b/tests/batch/harness.py
@@ -20,7 +20,7 @@
 from lockspoke.wire.http.messages import MessagePart, RequestHead
 from lockspoke.wire.http.request_parser import RequestParser
 from tests.core.harness import CoreHarness
-from tests.standins import EVENTS, STREAM_TAIL
+from tests.standins import EVENTS, STREAM_TAIL, until
 
 ENDPOINT = "/v1/chat/completions"
 RESPONSE = b"".join(EVENTS) + STREAM_TAIL
@@ -103,6 +103,13 @@
         attempt.request.answered = True
         attempt.request.response.reject(retry_after)
 
+    async def reject_in_flight(self, retry_after: int) -> None:
+        """Reject the only attempt in flight, and wait until its line has released its slot."""
+        (attempt,) = self.in_flight()
+        self.core_harness.core.transport.cancel(attempt)
+        self.reject(attempt, retry_after)
+        await until(lambda: not self.runner.slots.in_flight)
+
     def results(self, batch: Batch) -> dict[str, str]:
         """The entries of both result files by `custom_id`: an error code or "served"."""
         rows = []
--- a/tests/batch/test_runner.py
+++ b/tests/batch/test_runner.py
@@ -65,10 +65,7 @@
     async def scenario() -> None:
         batch = await harness.create_batch(*lines(1))
         await until(lambda: len(harness.in_flight()) == 1)
-        attempt = harness.in_flight()[0]
-        harness.core_harness.core.transport.cancel(attempt)
-        harness.reject(attempt, retry_after=5 * SECOND)
-        await until(lambda: not harness.runner.slots.in_flight)
+        await harness.reject_in_flight(retry_after=5 * SECOND)
         harness.clock += 4
         await asyncio.sleep(0.15)
         assert len(harness.core_harness.started) == 1, "not before the end of Retry-After"
@@ -344,10 +341,7 @@
     async def scenario() -> None:
         batch = await harness.create_batch(*lines(1))
         await until(lambda: len(harness.in_flight()) == 1)
-        attempt = harness.in_flight()[0]
-        harness.core_harness.core.transport.cancel(attempt)
-        harness.reject(attempt, retry_after=5 * SECOND)
-        await until(lambda: not harness.runner.slots.in_flight)
+        await harness.reject_in_flight(retry_after=5 * SECOND)
         harness.clock += 6
         await until(lambda: len(harness.in_flight()) == 1)
         harness.serve(harness.in_flight()[0])
