A member of the service address that starts votes by no list before its own

Cause: a member votes by the previous list until `settle` is over, counted from when it adopted its own, and a start counted as that. A generation that had settled was voted past again, so a candidate with a list two generations old could win.

Change: only a member that has adopted its list while it runs votes by the previous one, and not once it knows that its own has settled. Refusing is always safe; lists one member apart share a member of each quorum.

--- a/lockspoke/address/membership.py
+++ b/lockspoke/address/membership.py
@@ -32,6 +32,9 @@
     def __init__(self, name: str, config: ElectionConfig, now: int) -> None:
         self.name, self.config = name, config
         self.adopted_at = now
+        # Until when this member votes by the previous list. A process that starts doesn't know since when its
+        # list has been in force: it may have settled long ago.
+        self._previous_list_until = now
         self.known_settled = 0  # The latest generation that is known to have settled.
         self.peer_generations: dict[str, PeerGeneration] = {}
         self.mismatches: dict[str, str] = {}  # For each member with an incompatible list, the reason.
@@ -56,7 +59,7 @@
         if message.generation == own.generation:
             return message.members_digest == own.members_digest
         if message.generation == own.generation - 1:
-            return now < self.adopted_at + own.settle_time
+            return now < self._previous_list_until and self.known_settled < own.generation
         return message.generation == own.generation + 1
 
     def settled_generation(self, now: int) -> int:
@@ -109,6 +112,7 @@
         """Replace the list by one that `check_change` has accepted."""
         if config.generation != self.config.generation:
             self.adopted_at = now
+            self._previous_list_until = now + config.settle_time
         self.config = config
         self.peer_generations = {
             name: known for name, known in self.peer_generations.items() if name in config.members
--- a/tests/address/test_membership.py
+++ b/tests/address/test_membership.py
@@ -44,3 +44,35 @@
         2 * wait,
     )
     membership.check_change(next_config, 2 * wait + 1)  # Another member knows that it has settled.
+
+
+def previous_vote_request() -> ElectionMessage:
+    """A vote request of a candidate with the first list."""
+    return ElectionMessage(MessageKind.VOTE_REQUEST, 1, members_digest=THREE_MEMBERS.members_digest)
+
+
+def test_a_member_that_starts_does_not_vote_by_the_list_before_its_own() -> None:
+    """Guards against: a voter voted by the older list again after a restart, and two held the address."""
+    second = replace(THREE_MEMBERS, members=("a", "b", "c", "d"), generation=2)
+    restarted = Membership("a", second, 0)
+    assert not any(
+        restarted.may_grant(previous_vote_request(), now) for now in range(0, second.settle_time, 1_000_000)
+    )
+    newer = ElectionMessage(MessageKind.VOTE_REQUEST, 1, generation=3, members_digest=0)
+    assert restarted.may_grant(newer, 0), "it votes for the next list"
+
+
+def test_a_member_stops_voting_by_the_older_list_once_its_own_is_known_to_have_settled() -> None:
+    second = replace(THREE_MEMBERS, members=("a", "b", "c", "d"), generation=2)
+    membership = Membership("a", THREE_MEMBERS, 0)
+    membership.adopt(second, 100)
+    assert membership.may_grant(previous_vote_request(), 101)
+    settled = ElectionMessage(
+        MessageKind.PREVOTE_REQUEST,
+        1,
+        generation=2,
+        members_digest=second.members_digest,
+        settled_generation=2,
+    )
+    membership.observe("b", settled, 102)
+    assert not membership.may_grant(previous_vote_request(), 103)
