Rules on repeats in one module; attempts under earlier numbers count in them

Cause: what a class allows after an attempt that may have run stood in four places (selection, balancer, core, batch front), and the balancer could not be told of attempts that it had not made itself, such as those of an earlier process.

RequestArrived carries `earlier_runs`, which count for class, scope, window, the limit of attempts and the kind of the final answer. Nobody fills it yet.

Tests: tests/balancing/test_repeat_rules.py; the property test over random events draws earlier runs too.

--- a/lockspoke/balancing/balancer.py
+++ b/lockspoke/balancing/balancer.py
@@ -30,8 +30,9 @@
 )
 from .overload_backoff import OVERLOAD_BACKOFF
 from .prefix_affinity import PrefixAffinity
+from .repeat_rules import time_to_start_repetition
 from .replica_selection import ReplicaSelector
-from .settings import BalancerSettings, Idempotency
+from .settings import BalancerSettings
 from .slow_start_budget import SlowStartBudget
 from .tracked import ANSWER_TOKENS, TrackedAttempt, TrackedReplica, TrackedRequest
 from .weighted_sampling import WeightedSampler
@@ -178,7 +179,7 @@
     def _place(self, now: int, number: int, request: TrackedRequest) -> bool:
         """Send the next attempt, or answer if no replica can take it; return False if it stays queued."""
         replica, may_wait = None, False
-        if len(request.attempts) < self.settings.max_attempts and now < request.deadline:
+        if request.attempt_count < self.settings.max_attempts and now < request.deadline:
             replica, may_wait = self._selector.select(now, request)
         if replica is None and may_wait:
             return False
@@ -199,14 +200,14 @@
             attempt.trial = replica.breaker.begin_trial(now)
         if replica.slow_start.in_progress(now):
             replica.slow_start.record_send(now, arrived.prompt_tokens + ANSWER_TOKENS)
-        start_within = _remaining_start_window(now, request)
+        start_within = time_to_start_repetition(now, request.request_class, request.possible_runs)
         request.attempts.append(attempt)
         self.latest_actions.append(SendAttempt(number, replica.number, request.deadline - now, start_within))
 
     def _answer(self, now: int, number: int, request: TrackedRequest) -> None:
         """Give the final answer: a rejection if the request cannot have run, otherwise a failure."""
         self.queue.record_answered(now, request)
-        if request.attempts_that_may_have_run:
+        if request.possible_runs:
             self.latest_actions.append(Fail(number))
         else:
             self.latest_actions.append(Reject(number, self._retry_after(now)))
@@ -249,16 +250,3 @@
 def _is_invalid(request: TrackedRequest) -> bool:
     rejections = sum([attempt.outcome is Outcome.INVALID_REQUEST for attempt in request.attempts])
     return rejections >= INVALID_REQUEST_THRESHOLD
-
-
-def _remaining_start_window(now: int, request: TrackedRequest) -> int:
-    """Return for how many nanoseconds a repeated attempt may still be sent; 0 means no limit.
-
-    Replicas recognize an idempotency key only for a limited time after the first attempt that may have run.
-    """
-    if request.request_class.idempotency is not Idempotency.IDEMPOTENT_WITH_KEY:
-        return 0
-    may_have_run = request.attempts_that_may_have_run
-    if not may_have_run:
-        return 0
-    return request.request_class.deduplication_window - now + may_have_run[0].sent_at
--- a/lockspoke/balancing/events.py
+++ b/lockspoke/balancing/events.py
@@ -28,6 +28,10 @@
     INVALID_REQUEST = 8
 
 
+# The outcomes that prove that the replica has not run the request.
+NEVER_RAN = (Outcome.OVERLOADED, Outcome.CONNECT_FAILED, Outcome.NEVER_SENT)
+
+
 class ReplicaState(IntEnum):
     """The state of a replica according to the endpoint list."""
 
@@ -68,6 +72,15 @@
     completes_poll: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class EarlierRun:
+    """An attempt that may have run, of the same request under an earlier number or by an earlier process."""
+
+    sent_at: int
+    zone: int  # The zone and the cell of its replica.
+    cell: int
+
+
 @dataclass(frozen=True, slots=True)
 class RequestArrived:
     """A client sent a request, which must get exactly one final answer."""
@@ -84,6 +97,8 @@
     max_tokens: float = 0.0  # The limit on the answer's length.
     cost_hint: int = 0  # The expected work, in nanoseconds on a standard core; 0 means unknown.
     client_retry: bool = False  # The client has sent the same request before.
+    # Attempts that the rules on repetitions count together with those that follow.
+    earlier_runs: tuple[EarlierRun, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/lockspoke/balancing/replica_selection.py
+++ b/lockspoke/balancing/replica_selection.py
@@ -16,9 +16,10 @@
 from .events import Outcome, RequestArrived
 from .load_reports import TARGET_UTILIZATION
 from .prefix_affinity import PrefixAffinity
-from .settings import BalancerSettings, DeduplicationScope, Idempotency
+from .repeat_rules import may_be_repeated, may_get_repetition
+from .settings import BalancerSettings
 from .slow_start_budget import SlowStartBudget
-from .tracked import ANSWER_TOKENS, TrackedAttempt, TrackedReplica, TrackedRequest
+from .tracked import ANSWER_TOKENS, TrackedReplica, TrackedRequest
 from .weighted_sampling import WeightedSampler
 
 # The cost of reading an uncached token, in tokens: it also evicts cached ones that later requests would use.
@@ -66,7 +67,7 @@
 
     def select(self, now: int, request: TrackedRequest) -> Selection:
         """Select the replica for the next attempt; callers must have refreshed all breakers at `now`."""
-        if request.attempts and not self._may_repeat(now, request):
+        if request.has_earlier_attempts and not self._may_repeat(now, request):
             return Selection(None)
         candidates = self._find_candidates(now, request)
         if candidates.trial is not None:
@@ -81,14 +82,9 @@
 
     def _may_repeat(self, now: int, request: TrackedRequest) -> bool:
         """Whether hedging and the request's idempotency allow a further attempt at any replica."""
-        if not self.settings.hedging_allowed and request.has_attempt_in_progress:
+        if request.has_attempt_in_progress and not self.settings.hedging_allowed:
             return False
-        request_class, may_have_run = request.request_class, request.attempts_that_may_have_run
-        if request_class.idempotency is Idempotency.IDEMPOTENT or not may_have_run:
-            return True
-        if request_class.idempotency is Idempotency.NOT_IDEMPOTENT:
-            return False
-        return now - may_have_run[0].sent_at < request_class.deduplication_window
+        return may_be_repeated(now, request.request_class, request.possible_runs)
 
     def _find_candidates(self, now: int, request: TrackedRequest) -> _Candidates:
         request_class = request.arrived.request_class
@@ -119,18 +115,15 @@
     def _eligible_replicas(self, request: TrackedRequest) -> list[TrackedReplica]:
         """Return the ready replicas that the request's earlier attempts do not exclude."""
         ready = self._endpoints.ready
-        if not request.attempts:
+        if not request.has_earlier_attempts:
             return ready
         # A replica that could not be reached is excluded too: it looks idle, so it would be selected again.
         tried = [a.replica for a in request.attempts if a.outcome is not Outcome.OVERLOADED]
-        possible_runs: list[TrackedAttempt] = []
-        if request.request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY:
-            possible_runs = request.attempts_that_may_have_run
-        scope = request.request_class.deduplication_scope
+        request_class, runs = request.request_class, request.possible_runs
         return [
             replica
             for replica in ready
-            if replica not in tried and _deduplicates(scope, replica, possible_runs)
+            if replica not in tried and may_get_repetition(request_class, replica.zone, replica.cell, runs)
         ]
 
     def _select_in_slow_start(self, now: int, available: list[TrackedReplica]) -> TrackedReplica | None:
@@ -190,14 +183,3 @@
         if replica.zone != settings.zone:
             cost += settings.cross_zone_cost * CROSS_ZONE_TOKENS
         return cost
-
-
-def _deduplicates(
-    scope: DeduplicationScope, replica: TrackedReplica, possible_runs: list[TrackedAttempt]
-) -> bool:
-    """Whether the replica would recognize and discard a repetition of each of these attempts."""
-    if scope is DeduplicationScope.ZONE:
-        return all(attempt.replica.zone == replica.zone for attempt in possible_runs)
-    if scope is DeduplicationScope.CELL:
-        return all(attempt.replica.cell == replica.cell for attempt in possible_runs)
-    return True
--- a/lockspoke/balancing/tracked.py
+++ b/lockspoke/balancing/tracked.py
@@ -9,9 +9,10 @@
 
 from .breaker import Breaker, Trial
 from .concurrency_limit import ConcurrencyLimit
-from .events import Outcome, ReplicaState, RequestArrived
+from .events import NEVER_RAN, Outcome, ReplicaState, RequestArrived
 from .load_reports import MachineKind, ReportedLoad
 from .overload_backoff import OverloadBackoff
+from .repeat_rules import PossibleRun
 from .settings import BalancerSettings, RequestClass
 from .slow_start import SlowStart
 
@@ -19,7 +20,6 @@
 # Sessions and prefixes remembered for each replica: more than fit into a replica's memory.
 MAX_CACHED_KEYS = 2048
 MIN_CAPACITY = 1e-9
-NEVER_RAN = (Outcome.OVERLOADED, Outcome.CONNECT_FAILED, Outcome.NEVER_SENT)
 
 
 class TrackedReplica:
@@ -118,6 +118,16 @@
         self.outcome: Outcome | None = None  # None while it is in progress.
         self.streaming = False
 
+    @property
+    def zone(self) -> int:
+        """The zone of its replica."""
+        return self.replica.zone
+
+    @property
+    def cell(self) -> int:
+        """The cell of its replica."""
+        return self.replica.cell
+
     @property
     def in_progress(self) -> bool:
         """Whether it has no outcome yet."""
@@ -154,9 +164,21 @@
         self.is_open = True  # It has no final answer yet.
 
     @property
-    def attempts_that_may_have_run(self) -> list[TrackedAttempt]:
+    def has_earlier_attempts(self) -> bool:
+        """Whether any attempt has been made, under this number or an earlier one."""
+        return bool(self.attempts or self.arrived.earlier_runs)
+
+    @property
+    def attempt_count(self) -> int:
+        """The number of attempts; of those under earlier numbers the ones that may have run."""
+        return len(self.attempts) + len(self.arrived.earlier_runs)
+
+    @property
+    def possible_runs(self) -> list[PossibleRun]:
         """The attempts that may have run on a replica, including those in progress."""
-        return [attempt for attempt in self.attempts if attempt.may_have_run]
+        runs: list[PossibleRun] = [attempt for attempt in self.attempts if attempt.may_have_run]
+        runs += self.arrived.earlier_runs
+        return runs
 
     @property
     def has_attempt_in_progress(self) -> bool:
--- a/lockspoke/core/requests.py
+++ b/lockspoke/core/requests.py
@@ -8,15 +8,13 @@
 from enum import Enum
 from typing import Protocol
 
-from lockspoke.balancing.events import Outcome
-from lockspoke.balancing.settings import DeduplicationScope, Idempotency, RequestClass
+from lockspoke.balancing.events import NEVER_RAN, Outcome
+from lockspoke.balancing.repeat_rules import may_be_rejected
+from lockspoke.balancing.settings import Idempotency, RequestClass
 
 from .interfaces import ResponseWriter, TimerHandle
 from .replica_set import Incarnation, Replica
 
-# Outcomes that prove that the replica has not run the request.
-NEVER_RAN = (Outcome.OVERLOADED, Outcome.CONNECT_FAILED, Outcome.NEVER_SENT)
-
 
 @dataclass(eq=False, slots=True)
 class ClientRequest:
@@ -65,14 +63,7 @@
     @property
     def safe_to_reject(self) -> bool:
         """Whether the request may get an overload reply, because a retry by the client is safe."""
-        if self.class_settings.idempotency is Idempotency.IDEMPOTENT:
-            return True
-        if not any(attempt.may_have_run for attempt in self.attempts):
-            return True
-        return (
-            self.class_settings.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
-            and self.class_settings.deduplication_scope is DeduplicationScope.ALL
-        )
+        return may_be_rejected(self.class_settings, any(attempt.may_have_run for attempt in self.attempts))
 
     @property
     def safe_to_repeat(self) -> bool:
--- a/tests/balancing/helpers.py
+++ b/tests/balancing/helpers.py
@@ -10,6 +10,7 @@
 from lockspoke.balancing.balancer import Balancer
 from lockspoke.balancing.events import (
     AttemptEnded,
+    EarlierRun,
     EndpointListEntry,
     EndpointListKind,
     EndpointListUpdate,
@@ -113,26 +114,26 @@
         tracked = self.requests[action.request]
         target = self.entries[action.replica]
         assert not tracked.final_answer and not tracked.is_streaming, "sent after its final answer"
-        assert len(tracked.attempts) < self.settings.max_attempts, "too many attempts"
+        attempt_count = len(tracked.attempts) + len(tracked.arrived.earlier_runs)
+        assert attempt_count < self.settings.max_attempts, "too many attempts"
         assert target.state is ReplicaState.READY, "sent to a replica that is not ready"
         in_progress = [n for n in range(len(tracked.attempts)) if n not in tracked.outcomes]
         assert self.settings.hedging_allowed or not in_progress, "two attempts in progress without hedging"
-        may_have_run = [n for n in range(len(tracked.attempts)) if tracked.outcomes.get(n) not in NEVER_RAN]
+        runs = self._possible_runs(tracked)
         if tracked.request_class.idempotency is Idempotency.NOT_IDEMPOTENT:
-            assert not may_have_run, "a request that is not idempotent might run twice"
+            assert not runs, "a request that is not idempotent might run twice"
         if tracked.request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY:
-            for n in may_have_run:
-                first_target = self.entries[tracked.attempts[n].replica]
+            for run in runs:
                 in_scope = {
                     DeduplicationScope.ALL: True,
-                    DeduplicationScope.ZONE: first_target.zone == target.zone,
-                    DeduplicationScope.CELL: first_target.cell == target.cell,
+                    DeduplicationScope.ZONE: run.zone == target.zone,
+                    DeduplicationScope.CELL: run.cell == target.cell,
                 }
                 assert in_scope[tracked.request_class.deduplication_scope], (
                     "sent outside its deduplication scope"
                 )
-            if may_have_run:
-                since_first = self.now - tracked.attempts[may_have_run[0]].sent_at
+            if runs:
+                since_first = self.now - min(run.sent_at for run in runs)
                 window = tracked.request_class.deduplication_window
                 assert since_first < window, "sent after its deduplication window"
         tracked.attempts.append(SentAttempt(action.replica, self.now))
@@ -140,12 +141,20 @@
     def _may_reject(self, tracked: ClientRequest) -> bool:
         if tracked.request_class.idempotency is Idempotency.IDEMPOTENT:
             return True
-        may_have_run = [n for n in range(len(tracked.attempts)) if tracked.outcomes.get(n) not in NEVER_RAN]
-        return not may_have_run or (
+        return not self._possible_runs(tracked) or (
             tracked.request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
             and tracked.request_class.deduplication_scope is DeduplicationScope.ALL
         )
 
+    def _possible_runs(self, tracked: ClientRequest) -> list[EarlierRun]:
+        """The attempts that may have run, with those under an earlier number."""
+        runs = list(tracked.arrived.earlier_runs)
+        for number, attempt in enumerate(tracked.attempts):
+            if tracked.outcomes.get(number) not in NEVER_RAN:
+                target = self.entries[attempt.replica]
+                runs.append(EarlierRun(attempt.sent_at, target.zone, target.cell))
+        return runs
+
     def update_endpoint_list(
         self, kind: EndpointListKind, entries: tuple[EndpointListEntry, ...]
     ) -> list[Action]:
--- a/tests/balancing/test_invariants.py
+++ b/tests/balancing/test_invariants.py
@@ -15,6 +15,7 @@
 from lockspoke.balancing.events import (
     AttemptEnded,
     ClientDisconnected,
+    EarlierRun,
     EndpointListEntry,
     EndpointListKind,
     FirstToken,
@@ -58,9 +59,14 @@
 
 
 OUTCOMES = st.sampled_from(list(Outcome))
+EARLIER_RUNS = st.lists(  # Time since the attempt, zone and cell of each.
+    st.tuples(st.sampled_from([0, 250 * MS, 1900 * MS, 2 * SECOND]), st.integers(0, 1), st.integers(0, 2)),
+    max_size=2,
+)
 STEPS = st.one_of(
-    st.tuples(st.just("arrive"), st.integers(0, 4), st.integers(0, 2), st.integers(0, 3)),
-    st.tuples(st.just("arrive"), st.integers(0, 4), st.integers(0, 2), st.integers(0, 3)),
+    st.tuples(st.just("arrive"), st.integers(0, 4), st.integers(0, 2), st.integers(0, 3), st.just(())),
+    st.tuples(st.just("arrive"), st.integers(0, 4), st.integers(0, 2), st.integers(0, 3), st.just(())),
+    st.tuples(st.just("arrive"), st.integers(0, 4), st.integers(0, 2), st.integers(0, 3), EARLIER_RUNS),
     st.tuples(st.just("end"), st.integers(0, 50), OUTCOMES),
     st.tuples(st.just("end"), st.integers(0, 50), OUTCOMES),
     st.tuples(st.just("first"), st.integers(0, 50)),
@@ -101,7 +107,7 @@
     number = 0
     for step in steps:
         match step:
-            case ("arrive", request_class, tenant, prefix):
+            case ("arrive", request_class, tenant, prefix, earlier):
                 number += 1
                 harness.arrive(
                     number,
@@ -110,6 +116,7 @@
                     tenant=tenant,
                     prefix=prefix,
                     session=prefix,
+                    earlier_runs=tuple(EarlierRun(harness.now - ago, *place) for ago, *place in earlier),
                 )
             case ("end", which, outcome) if harness.attempts_in_progress():
                 request, attempt = harness.attempts_in_progress()[which % len(harness.attempts_in_progress())]
