A batch line that may have run is repeated after a planned stop only within its window

Lines of guarded classes with scope zone or cell failed at the stop though a repeat was allowed.

Cause: the hand-off rejects a request whose client may repeat it within the window. LineRunner took a rejection for a proof that the line had not run; each try was a new request, of whose predecessors the balancer knew nothing; the store said nothing of attempts.

Change: a request carries the attempts that were made of it before and may have run, and the balancer's rules count them. A line keeps them across tries and in the store (record `run`: request ID, time since the machine's start, zone, cell) and repeats under the same ID.

--- a/lockspoke/balancing/repeat_rules.py
+++ b/lockspoke/balancing/repeat_rules.py
@@ -28,9 +28,14 @@
         """The cell of its replica."""
 
 
+def restricts_repeats(request_class: RequestClass) -> bool:
+    """Whether the attempts of a request that may have run matter for the next one."""
+    return request_class.idempotency is not Idempotency.IDEMPOTENT
+
+
 def may_be_repeated(now: int, request_class: RequestClass, runs: Collection[PossibleRun]) -> bool:
     """Whether a request may be sent again at `now` to a replica that `may_get_repetition`."""
-    if not runs or request_class.idempotency is Idempotency.IDEMPOTENT:
+    if not runs or not restricts_repeats(request_class):
         return True
     if request_class.idempotency is Idempotency.NOT_IDEMPOTENT:
         return False
@@ -62,7 +67,7 @@
 
 def may_be_rejected(request_class: RequestClass, may_have_run: bool) -> bool:
     """Whether a request may get an overload reply, because a retry by its client is harmless."""
-    if not may_have_run or request_class.idempotency is Idempotency.IDEMPOTENT:
+    if not may_have_run or not restricts_repeats(request_class):
         return True
     return (
         request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
--- a/lockspoke/batch/attempt.py
+++ b/lockspoke/batch/attempt.py
@@ -14,7 +14,7 @@
     """How an attempt ended."""
 
     SERVED = auto()
-    REJECTED = auto()  # The request was shed and has not run.
+    REJECTED = auto()  # The request was shed; it may have run if a repetition is harmless.
     FAILED = auto()  # The request may have run.
 
 
@@ -25,10 +25,10 @@
     outcome: AttemptOutcome
     retry_after: int = 0  # The Retry-After of a rejection in nanoseconds; 0 if it had none.
     body: dict[str, Any] = field(default_factory=dict)  # The response; empty unless the attempt was served.
-    repeatable: bool = True  # Whether the line may be attempted again after this one.
 
 
 FAILED_ATTEMPT = AttemptResult(AttemptOutcome.FAILED)
+REJECTED_ATTEMPT = AttemptResult(AttemptOutcome.REJECTED)
 
 
 class LineResponse:
--- a/lockspoke/batch/line_runner.py
+++ b/lockspoke/batch/line_runner.py
@@ -4,16 +4,18 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 
 import structlog
 
+from lockspoke.boot_time import BootTime
 from lockspoke.core.core import Core
 from lockspoke.units import SECOND
 
-from .attempt import FAILED_ATTEMPT, AttemptOutcome, AttemptResult, LineResponse
+from .attempt import FAILED_ATTEMPT, REJECTED_ATTEMPT, AttemptOutcome, AttemptResult, LineResponse
 from .batch_run import BatchRun
+from .line_runs import LineRuns
 from .lines import BatchLines
 from .records import LineStatus
 from .slots import LineSlots
@@ -69,6 +71,7 @@
         slots: LineSlots,
         max_attempts: int,
         now: Callable[[], float],
+        boot_time: Callable[[], BootTime],
     ) -> None:
         """Set up without running a line.
 
@@ -79,6 +82,7 @@
             slots: Limits the lines in flight; shared with the scheduler.
             max_attempts: Failed attempts after which a line fails; rejections do not count.
             now: Gives the Unix time in seconds.
+            boot_time: Reads the clock that processes share.
         """
         self.store = store
         self.core = core
@@ -86,10 +90,12 @@
         self.slots = slots
         self.max_attempts = max_attempts
         self.now = now
+        self.boot_time = boot_time
 
     async def run_line(self, run: BatchRun, line: int) -> None:
         """Attempt a line until it has ended, or until the program stops."""
         history = _AttemptHistory()
+        runs = LineRuns(self.store, self.core, run.batch, line, self.boot_time)
         result = FAILED_ATTEMPT
         while True:
             remaining_seconds = run.deadline(line) - self.now()
@@ -97,13 +103,13 @@
             if status is not None:
                 break
             try:
-                result = await self._attempt(run, line, remaining_seconds)
+                result = await self._attempt(run, line, remaining_seconds, runs)
             except Exception:
                 log.exception("batch_line_error", batch=run.batch.id, line=line)
                 result, status = FAILED_ATTEMPT, LineStatus.FAILED
                 break
             history.add(result)
-            status = self._status_after(result, history)
+            status = self._status_after(result, history, runs)
             if status is not None:
                 break
             if not await self._back_off(run, line, history.retry_delay(result.retry_after)):
@@ -113,20 +119,28 @@
         finally:
             self.slots.release()
 
-    def _status_after(self, result: AttemptResult, history: _AttemptHistory) -> LineStatus | None:
+    def _status_after(
+        self, result: AttemptResult, history: _AttemptHistory, runs: LineRuns
+    ) -> LineStatus | None:
         """The final status of the line; None if another attempt is due."""
         if result.outcome is AttemptOutcome.SERVED:
             return LineStatus.SERVED
-        has_failed = result.outcome is AttemptOutcome.FAILED and not result.repeatable
-        return LineStatus.FAILED if has_failed or history.failures >= self.max_attempts else None
+        may_be_repeated = self.core.may_be_repeated(self.lines.request_class, runs.possible_runs)
+        return None if may_be_repeated and history.failures < self.max_attempts else LineStatus.FAILED
 
-    async def _attempt(self, run: BatchRun, line: int, remaining_seconds: float) -> AttemptResult:
+    async def _attempt(
+        self, run: BatchRun, line: int, remaining_seconds: float, runs: LineRuns
+    ) -> AttemptResult:
         input_line = self.lines.read(run.batch, run.index.offsets[line])
         response = LineResponse(self.lines.assembler(input_line))
-        request = self.lines.request(run.batch, input_line, response, remaining_seconds)
+        request = self.lines.request(run.batch, input_line, response, remaining_seconds, runs)
         self.core.submit(request)
         result = await response.result
-        return replace(result, repeatable=request.safe_to_repeat)
+        if result.outcome is not AttemptOutcome.SERVED:
+            await runs.add(request)
+        if result.outcome is AttemptOutcome.FAILED and request.only_ran_earlier:
+            return REJECTED_ATTEMPT
+        return result
 
     async def _back_off(self, run: BatchRun, line: int, delay: float) -> bool:
         """Release the slot and wait for the next attempt; False if the program stops first."""
--- a/lockspoke/batch/lines.py
+++ b/lockspoke/batch/lines.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import Any
 
 from lockspoke.core.identifiers import key_identifier
@@ -14,6 +13,7 @@
 from .chat_completion import ChatCompletionAssembler, PromptSize, measure_prompt
 from .input_lines import InputIndex, InputLine, LineError, file_error, index_input_file, read_line
 from .json_text import encode_json
+from .line_runs import LineRuns
 from .records import Batch, LineStatus
 from .results import new_result
 from .store import BatchStore
@@ -71,11 +71,16 @@
         return ChatCompletionAssembler(str(line.body.get("model", "")), int(self.store.now()))
 
     def request(
-        self, batch: Batch, line: InputLine, response: ResponseWriter, remaining_seconds: float
+        self,
+        batch: Batch,
+        line: InputLine,
+        response: ResponseWriter,
+        remaining_seconds: float,
+        runs: LineRuns,
     ) -> ClientRequest:
         """The request for a line, whose first token must arrive within `remaining_seconds`.
 
-        Replicas always stream, whether or not the line requests a stream.
+        Replicas always stream, whether or not the line requests a stream. `runs` are the earlier attempts.
         """
         prompt = measure_prompt(line.body)
         prefix = format(key_identifier(prompt.shared_prefix), "016x") if prompt.shared_prefix else ""
@@ -84,7 +89,7 @@
             response=response,
             request_class=self.request_class,
             time_remaining=max(1, min(self.first_token_timeout, int(remaining_seconds * SECOND))),
-            request_id=secrets.token_hex(8),
+            request_id=runs.next_request_id(),
             method="POST",
             target=batch.endpoint,
             headers={
@@ -99,6 +104,7 @@
             prefix_tokens=prompt.prefix_tokens,
             max_tokens=prompt.max_tokens,
             background=True,
+            earlier_runs=runs.possible_runs,
         )
 
     def new_result(
--- a/lockspoke/batch/records.py
+++ b/lockspoke/batch/records.py
@@ -11,6 +11,8 @@
 from enum import IntEnum, StrEnum
 from typing import Any
 
+from lockspoke.boot_time import BootTime
+
 
 class LineStatus(IntEnum):
     """The status of a line: open, or how it ended. The numbers are stored in the journal."""
@@ -77,6 +79,16 @@
     file_id: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class LineRun:
+    """An attempt of a line that may have run on a replica."""
+
+    request_id: str
+    sent_at: BootTime
+    zone: str  # The zone and the cell of its replica.
+    cell: int
+
+
 @dataclass(slots=True)
 class Batch:
     """A batch and the status of each of its lines."""
@@ -100,6 +112,8 @@
     # The journal offset of each line's result, by line number.
     result_offsets: array[int] = field(default_factory=lambda: array("Q"))
     line_counts: dict[LineStatus, int] = field(default_factory=dict)
+    # The attempts that may have run, of each open line of a class that must not run any number of times.
+    runs: dict[int, list[LineRun]] = field(default_factory=dict)
 
     @property
     def total(self) -> int:
@@ -130,3 +144,4 @@
         self.line_statuses[line] = status
         self.result_offsets[line] = result_offset
         self.line_counts[status] = self.line_counts.get(status, 0) + 1
+        self.runs.pop(line, None)
--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from lockspoke.boot_time import BootTime, read_boot_time
 from lockspoke.core.core import Core
 
 from .batch_run import BatchRun
@@ -34,6 +35,7 @@
         concurrency: int,
         max_attempts: int,
         now: Callable[[], float],
+        boot_time: Callable[[], BootTime] = read_boot_time,
     ) -> None:
         """Run nothing until `start`.
 
@@ -44,13 +46,14 @@
             concurrency: The most lines in flight.
             max_attempts: The number of failed attempts after which a line fails.
             now: Gives the Unix time in seconds.
+            boot_time: Reads the clock that processes share.
         """
         self.store = store
         self.lines = lines
         self.now = now
         self.slots = LineSlots(core, concurrency)
         self.tasks = BackgroundTasks()
-        self.line_runner = LineRunner(store, core, lines, self.slots, max_attempts, now)
+        self.line_runner = LineRunner(store, core, lines, self.slots, max_attempts, now, boot_time)
         self.scheduler = LineScheduler(self.line_runner, self.slots, self.tasks, now)
 
     def reconfigure(self, concurrency: int, max_attempts: int) -> None:
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -15,8 +15,8 @@
 
 from .contents import ContentFolder, Digests, content_size
 from .journal import Journal, Record, StoreError
-from .records import Batch, BatchStatus, File, LineStatus, Upload, UploadStatus
-from .tables import StoreTables
+from .records import Batch, BatchStatus, File, LineRun, LineStatus, Upload, UploadStatus
+from .tables import StoreTables, encode_run
 
 ResultEncoder = Callable[[dict[str, Any]], bytes]
 
@@ -191,6 +191,10 @@
         record = {"op": "batch_status", "id": batch.id, "status": status, "at": int(self.now()), **details}
         await self._write(record)
 
+    async def add_run(self, batch: Batch, line: int, run: LineRun) -> None:
+        """Store an attempt of an open line that may have run."""
+        await self._write({"op": "run", "batch": batch.id, "line": line, **encode_run(run)})
+
     async def end_line(self, batch: Batch, line: int, status: LineStatus, result: dict[str, Any]) -> None:
         """Store the final status of a line, with its entry for the result file.
 
--- a/lockspoke/batch/tables.py
+++ b/lockspoke/batch/tables.py
@@ -9,8 +9,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from lockspoke.boot_time import BootTime
+
 from .journal import Record, StoreError
-from .records import Batch, BatchStatus, File, LineStatus, Upload, UploadStatus
+from .records import Batch, BatchStatus, File, LineRun, LineStatus, Upload, UploadStatus
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +40,7 @@
             "batch": self._add_batch,
             "batch_status": self._set_batch_status,
             "line": self._end_line,
+            "run": self._add_run,
         }
 
     def apply(self, offset: int, record: Record) -> None:
@@ -95,8 +98,29 @@
         self.files[file.id] = file
         return file.id
 
+    def _add_run(self, _: int, record: Record) -> None:
+        batch, line = self.batches[record["batch"]], record["line"]
+        if batch.is_open(line):
+            batch.runs.setdefault(line, []).append(_decode_run(record))
+
     def _end_line(self, offset: int, record: Record) -> None:
         batch, line = self.batches[record["batch"]], record["line"]
         if not batch.is_open(line):
             raise StoreError(f"{batch.id}: line {line} ended twice")
         batch.end_line(line, LineStatus(record["end"]), offset)
+
+
+def encode_run(run: LineRun) -> Record:
+    """The fields of a journal record that describe an attempt."""
+    return {
+        "request": run.request_id,
+        "boot": run.sent_at.boot_id,
+        "at": run.sent_at.nanoseconds,
+        "zone": run.zone,
+        "cell": run.cell,
+    }
+
+
+def _decode_run(record: Record) -> LineRun:
+    sent_at = BootTime(record["boot"], record["at"])
+    return LineRun(record["request"], sent_at, record["zone"], record["cell"])
--- a/lockspoke/core/core.py
+++ b/lockspoke/core/core.py
@@ -14,11 +14,13 @@
 from lockspoke.balancing import Balancer
 from lockspoke.balancing.events import (
     ClientDisconnected,
+    EarlierRun,
     EndpointListKind,
     EndpointListUpdate,
     Outcome,
     RequestArrived,
 )
+from lockspoke.balancing.repeat_rules import may_be_repeated
 from lockspoke.balancing.settings import BalancerSettings
 from lockspoke.units import MILLISECOND, SECOND
 
@@ -29,7 +31,7 @@
 from .replica_set import Replica, ReplicaListUpdate, ReplicaSet, ReplicaSetChange
 from .request_lifecycle import RequestLifecycle
 from .request_log import RequestLog
-from .requests import Attempt, ClientRequest
+from .requests import Attempt, ClientRequest, PossibleRun
 from .totals import RequestOutcome, Totals
 from .transport import Transport
 
@@ -113,9 +115,21 @@
                 prefix_tokens=request.prefix_tokens,
                 max_tokens=request.max_tokens,
                 client_retry=request.client_retry,
+                earlier_runs=self._earlier_runs(request.earlier_runs),
             )
         )
 
+    def may_be_repeated(self, request_class: int, runs: Iterable[PossibleRun]) -> bool:
+        """Return whether a request of a class may be submitted again after these attempts."""
+        settings = self.balancer.settings.classes[request_class]
+        return may_be_repeated(self.clock.now(), settings, self._earlier_runs(runs))
+
+    def _earlier_runs(self, runs: Iterable[PossibleRun]) -> tuple[EarlierRun, ...]:
+        return tuple(
+            EarlierRun(run.sent_at, self.replica_set.zone_index(run.location.zone), run.location.cell)
+            for run in runs
+        )
+
     def client_disconnected(self, request: ClientRequest) -> None:
         """Complete a request whose client has disconnected.
 
--- a/lockspoke/core/replica_set.py
+++ b/lockspoke/core/replica_set.py
@@ -21,6 +21,16 @@
     boot_ms: int  # Unix time
 
 
+class ReplicaLocation(NamedTuple):
+    """Where a replica runs, as far as it matters for the deduplication of requests."""
+
+    zone: str
+    cell: int
+
+
+UNKNOWN_LOCATION = ReplicaLocation("", 0)
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointListReplica:
     """A replica as an endpoint list describes it."""
@@ -39,6 +49,11 @@
         """The replica's process and address."""
         return Incarnation(self.endpoint, self.boot_ms)
 
+    @property
+    def location(self) -> ReplicaLocation:
+        """Where the replica runs."""
+        return ReplicaLocation(self.zone, self.cell)
+
 
 @dataclass(frozen=True, slots=True)
 class ReplicaListUpdate:
@@ -60,6 +75,7 @@
     endpoint: tuple[str, int] | None
     state: ReplicaState
     boot_ms: int
+    location: ReplicaLocation = UNKNOWN_LOCATION
     started_at: int = 0  # when its process started, by the core's clock; 0: long ago
     last_attempt_at: int = 0  # when the first byte of an attempt was last sent, by the core's clock; 0: never
 
@@ -106,6 +122,13 @@
         self.zones = indexes
         return changed
 
+    def zone_index(self, zone: str) -> int:
+        """Return the balancer's number of a zone.
+
+        All zones that the settings do not name share one number, which is no gateway's own zone.
+        """
+        return self.zones.get(zone, len(self.zones))
+
     @property
     def ready_count(self) -> int:
         """The number of replicas that are listed as ready."""
@@ -131,7 +154,9 @@
             started_at = self._process_start_times.started_at(number, entry.boot_ms, clock_reading)
             replica = self.replicas.get(number)
             if replica is None:
-                replica = Replica(number, entry.uid, entry.endpoint, entry.state, entry.boot_ms, started_at)
+                replica = Replica(
+                    number, entry.uid, entry.endpoint, entry.state, entry.boot_ms, entry.location, started_at
+                )
                 self.replicas[number] = replica
             elif self._update(replica, entry, started_at):
                 to_disconnect.append(replica)
@@ -159,6 +184,7 @@
         stale = entry.state != ReplicaState.READY or entry.incarnation != replica.incarnation
         replica.endpoint = entry.endpoint or replica.endpoint
         replica.boot_ms = entry.boot_ms
+        replica.location = entry.location
         replica.started_at = started_at
         replica.state = entry.state
         return stale
@@ -206,8 +232,7 @@
             replica=replica.number,
             # The balancer sees a banned replica as draining: open attempts continue, no new ones are sent.
             state=ReplicaState.DRAINING if banned else entry.state,
-            # All zones that the settings do not name share one index, which is no gateway's own zone.
-            zone=self.zones.get(entry.zone, len(self.zones)),
+            zone=self.zone_index(entry.zone),
             cell=entry.cell,
             weight=entry.weight,
             started_at=replica.started_at,
--- a/lockspoke/core/requests.py
+++ b/lockspoke/core/requests.py
@@ -10,10 +10,18 @@
 
 from lockspoke.balancing.events import NEVER_RAN, Outcome
 from lockspoke.balancing.repeat_rules import may_be_rejected
-from lockspoke.balancing.settings import Idempotency, RequestClass
+from lockspoke.balancing.settings import RequestClass
 
 from .interfaces import ResponseWriter, TimerHandle
-from .replica_set import Incarnation, Replica
+from .replica_set import Incarnation, Replica, ReplicaLocation
+
+
+@dataclass(frozen=True, slots=True)
+class PossibleRun:
+    """An attempt that may have run, by whichever process it was made."""
+
+    sent_at: int  # nanoseconds by the core's clock
+    location: ReplicaLocation  # of its replica
 
 
 @dataclass(eq=False, slots=True)
@@ -40,6 +48,8 @@
     client_retry: bool = False
     arrived_at: int = 0  # when its last byte arrived; 0: the time of submission is used
     background: bool = False  # batch work; any other request is interactive and takes precedence
+    # Attempts of the same request that were submitted before, perhaps to an earlier process.
+    earlier_runs: tuple[PossibleRun, ...] = ()
     # Set by the core:
     number: int = 0
     deadline: int = 0
@@ -63,17 +73,22 @@
     @property
     def safe_to_reject(self) -> bool:
         """Whether the request may get an overload reply, because a retry by the client is safe."""
-        return may_be_rejected(self.class_settings, any(attempt.may_have_run for attempt in self.attempts))
+        return may_be_rejected(self.class_settings, bool(self.possible_runs))
 
     @property
-    def safe_to_repeat(self) -> bool:
-        """Whether it may be submitted once more under another id: its class may run twice, or it has not run.
+    def possible_runs(self) -> tuple[PossibleRun, ...]:
+        """The attempts that may have run, with those that were submitted before."""
+        runs = [
+            PossibleRun(attempt.started_at, attempt.location)
+            for attempt in self.attempts
+            if attempt.may_have_run
+        ]
+        return (*self.earlier_runs, *runs)
 
-        Deduplication by key does not count, because replicas know a request by its id.
-        """
-        if self.class_settings.idempotency is Idempotency.IDEMPOTENT:
-            return True
-        return not any(attempt.may_have_run for attempt in self.attempts)
+    @property
+    def only_ran_earlier(self) -> bool:
+        """Whether it may have run, but not since it was submitted."""
+        return bool(self.earlier_runs) and not any(attempt.may_have_run for attempt in self.attempts)
 
 
 class AttemptStage(Enum):
@@ -121,7 +136,9 @@
     started_at: int
     deadline: int
     listener: AttemptListener
-    replica_incarnation: Incarnation = field(init=False)  # of the replica when the attempt was created
+    # Of the replica when the attempt was created:
+    replica_incarnation: Incarnation = field(init=False)
+    location: ReplicaLocation = field(init=False)
     start_by: int = 0  # the first byte must be sent before this time; 0: only the deadline applies
     stage: AttemptStage = AttemptStage.CONNECTING
     outcome: Outcome | None = None  # None while the attempt is open
@@ -131,8 +148,9 @@
     backpressure: asyncio.Future[None] | None = None  # if set, reading is paused until it is done
 
     def __post_init__(self) -> None:
-        """Record the current incarnation of the replica."""
+        """Record the current incarnation and location of the replica."""
         self.replica_incarnation = self.replica.incarnation
+        self.location = self.replica.location
 
     @property
     def streaming(self) -> bool:
--- a/tests/batch/harness.py
+++ b/tests/batch/harness.py
@@ -14,6 +14,7 @@
 from lockspoke.batch.records import Batch
 from lockspoke.batch.runner import BatchRunner
 from lockspoke.batch.store import BatchStore
+from lockspoke.boot_time import BootTime
 from lockspoke.core.requests import Attempt
 from lockspoke.units import SECOND
 from lockspoke.wire.http.encoding import encode_request
@@ -60,15 +61,26 @@
     ) -> None:
         self.core_harness = CoreHarness(**core_settings)
         self.clock = 1_000_000.0
+        self.boot_id = "boot-1"
+        self.boot_time_offset = 0  # nanoseconds by which the core's clock is behind the time since the boot
         self.store = BatchStore(folder, self.now)
         batch_lines = BatchLines(self.store, "bulk", 0, 12 * SECOND, 100)
         self.runner = BatchRunner(
-            self.store, self.core_harness.core, batch_lines, concurrency, max_attempts, self.now
+            self.store,
+            self.core_harness.core,
+            batch_lines,
+            concurrency,
+            max_attempts,
+            self.now,
+            self.boot_time,
         )
 
     def now(self) -> float:
         return self.clock
 
+    def boot_time(self) -> BootTime:
+        return BootTime(self.boot_id, self.core_harness.time + self.boot_time_offset)
+
     async def create_batch(self, *input_lines: dict[str, Any] | bytes, window: int = 60) -> Batch:
         """Store an input file, and create and start a batch for it."""
         path, file = self.store.open_scratch()
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -16,7 +16,7 @@
 
 # From the lowest layer to the highest. A package imports only from its own layer and lower ones.
 LAYERS = (
-    ("rate_limited_log", "steady_unix_time", "units"),
+    ("boot_time", "rate_limited_log", "steady_unix_time", "units"),
     ("balancing",),
     ("core", "simulator"),
     ("wire",),
