An attempt of a line whose class restricts repeats is on the disk before its first byte

Cause: the store knew how a line had ended and nothing else, so a line in flight looked like one that had not begun.

Change: the core's permission to send, the one way to a first byte, asks a request's recorder for a durable record once the connection is up, and checks everything again after it. An attempt that cannot be recorded is not sent. An outcome that proves that it never ran takes the record back at once.

--- a/lockspoke/batch/line_runs.py
+++ b/lockspoke/batch/line_runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from collections.abc import Callable
 from functools import partial
@@ -10,8 +11,9 @@
 from lockspoke.boot_time import BootTime
 from lockspoke.core.core import Core
 from lockspoke.core.replica_set import ReplicaLocation
-from lockspoke.core.requests import ClientRequest, PossibleRun
+from lockspoke.core.requests import Attempt, ClientRequest, PossibleRun, SendNotRecordedError
 
+from .journal import StoreError
 from .records import Batch, LineRun
 from .store import BatchStore
 from .tasks import retry_until_stored
@@ -23,7 +25,8 @@
 class LineRuns:
     """Collects the attempts of a line that may have run, across its requests and across processes.
 
-    A line of a class that may run any number of times has none.
+    It is the `SendRecorder` of the line's requests: each attempt is stored before its first byte is sent.
+    Nothing is collected for a class that may run any number of times.
     """
 
     def __init__(
@@ -39,36 +42,51 @@
             boot_time: Reads the clock that processes share.
         """
         self._store = store
-        self._core = core
         self._batch = batch
         self._line = line
         self._boot_time = boot_time
-        stored = batch.runs.get(line, ())
-        self.possible_runs = tuple(self._from_stored(run) for run in stored)
-        self._request_id = stored[-1].request_id if stored else ""
+        stored = batch.runs.get(line, {})
+        self.possible_runs = tuple(_possible_run(run, core, boot_time()) for run in stored.values())
+        # By the ID of the attempts that may have run, replicas recognize a repetition.
+        self._request_id = next((run.request_id for run in stored.values()), "")
+        self._next_number = max(stored, default=-1) + 1
+        self._numbers: dict[Attempt, int] = {}  # Of the attempts of the current request.
+        self._pending_writes: list[asyncio.Task[None]] = []
 
     def next_request_id(self) -> str:
         """The ID of the line's next request; replicas recognize a repetition by its ID."""
         return self._request_id if self.possible_runs else secrets.token_hex(8)
 
+    async def record_send(self, attempt: Attempt) -> None:
+        """Store an attempt that is about to be sent.
+
+        Raises:
+            SendNotRecordedError: The store could not be written.
+        """
+        number = self._numbers[attempt] = self._next_number
+        self._next_number += 1
+        zone, cell = attempt.location
+        run = LineRun(attempt.request.request_id, self._boot_time(), zone, cell)
+        try:
+            await self._store.add_run(self._batch, self._line, number, run)
+        except StoreError as error:
+            raise SendNotRecordedError(str(error)) from error
+
+    def record_never_ran(self, attempt: Attempt) -> None:
+        """Store that an attempt has not run, at once: the request may go on for long."""
+        write = partial(self._store.drop_run, self._batch, self._line, self._numbers.pop(attempt))
+        self._pending_writes.append(asyncio.ensure_future(retry_until_stored(write)))
+
     async def add(self, request: ClientRequest) -> None:
-        """Add the attempts of a request that has been answered; returns once they are stored."""
-        if not restricts_repeats(request.class_settings):
-            return
-        new_runs = request.possible_runs[len(self.possible_runs) :]
-        self.possible_runs = request.possible_runs
-        self._request_id = request.request_id
-        for run in new_runs:
-            write = partial(self._store.add_run, self._batch, self._line, self._to_stored(run))
-            await retry_until_stored(write)
-
-    def _to_stored(self, run: PossibleRun) -> LineRun:
-        now = self._boot_time()
-        elapsed = self._core.clock.now() - run.sent_at
-        sent_at = BootTime(now.boot_id, now.nanoseconds - elapsed)
-        return LineRun(self._request_id, sent_at, run.location.zone, run.location.cell)
-
-    def _from_stored(self, run: LineRun) -> PossibleRun:
-        elapsed = self._boot_time().elapsed_since(run.sent_at)
-        sent_at = LONG_AGO if elapsed is None else self._core.clock.now() - elapsed
-        return PossibleRun(sent_at, ReplicaLocation(run.zone, run.cell))
+        """Add the attempts of a request that has been answered; returns once all records are written."""
+        if restricts_repeats(request.class_settings):
+            self.possible_runs = request.possible_runs
+            self._request_id = request.request_id
+        writes, self._pending_writes = self._pending_writes, []
+        await asyncio.gather(*writes)
+
+
+def _possible_run(run: LineRun, core: Core, now: BootTime) -> PossibleRun:
+    elapsed = now.elapsed_since(run.sent_at)
+    sent_at = LONG_AGO if elapsed is None else core.clock.now() - elapsed
+    return PossibleRun(sent_at, ReplicaLocation(run.zone, run.cell))
--- a/lockspoke/batch/lines.py
+++ b/lockspoke/batch/lines.py
@@ -105,6 +105,7 @@
             max_tokens=prompt.max_tokens,
             background=True,
             earlier_runs=runs.possible_runs,
+            send_recorder=runs,
         )
 
     def new_result(
--- a/lockspoke/batch/records.py
+++ b/lockspoke/batch/records.py
@@ -112,8 +112,8 @@
     # The journal offset of each line's result, by line number.
     result_offsets: array[int] = field(default_factory=lambda: array("Q"))
     line_counts: dict[LineStatus, int] = field(default_factory=dict)
-    # The attempts that may have run, of each open line of a class that must not run any number of times.
-    runs: dict[int, list[LineRun]] = field(default_factory=dict)
+    # The attempts that may have run, by their number, of each open line whose class restricts repeats.
+    runs: dict[int, dict[int, LineRun]] = field(default_factory=dict)
 
     @property
     def total(self) -> int:
--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -96,6 +96,8 @@
         run = BatchRun(batch, index)
         open_lines = batch.line_statuses.count(LineStatus.OPEN)
         log.info("batch_started", batch=batch.id, lines=batch.total, open_lines=open_lines)
+        if batch.runs:
+            log.info("batch_lines_may_have_run", batch=batch.id, lines=len(batch.runs))
         self.scheduler.add(run)
         await run.drained.wait()
         await self._finish_batch(batch)
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -191,9 +191,22 @@
         record = {"op": "batch_status", "id": batch.id, "status": status, "at": int(self.now()), **details}
         await self._write(record)
 
-    async def add_run(self, batch: Batch, line: int, run: LineRun) -> None:
-        """Store an attempt of an open line that may have run."""
-        await self._write({"op": "run", "batch": batch.id, "line": line, **encode_run(run)})
+    async def add_run(self, batch: Batch, line: int, number: int, run: LineRun) -> None:
+        """Store an attempt of an open line that may run from now on; `number` is unique within the line.
+
+        Raises:
+            StoreError: The write failed.
+        """
+        record = {"op": "run", "batch": batch.id, "line": line, "run": number}
+        await self._write(record | encode_run(run))
+
+    async def drop_run(self, batch: Batch, line: int, number: int) -> None:
+        """Store that an attempt, which `add_run` has stored or failed to store, has not run.
+
+        Raises:
+            StoreError: The write failed.
+        """
+        await self._write({"op": "never_ran", "batch": batch.id, "line": line, "run": number})
 
     async def end_line(self, batch: Batch, line: int, status: LineStatus, result: dict[str, Any]) -> None:
         """Store the final status of a line, with its entry for the result file.
--- a/lockspoke/batch/tables.py
+++ b/lockspoke/batch/tables.py
@@ -41,6 +41,7 @@
             "batch_status": self._set_batch_status,
             "line": self._end_line,
             "run": self._add_run,
+            "never_ran": self._drop_run,
         }
 
     def apply(self, offset: int, record: Record) -> None:
@@ -101,7 +102,15 @@
     def _add_run(self, _: int, record: Record) -> None:
         batch, line = self.batches[record["batch"]], record["line"]
         if batch.is_open(line):
-            batch.runs.setdefault(line, []).append(_decode_run(record))
+            batch.runs.setdefault(line, {})[record["run"]] = _decode_run(record)
+
+    def _drop_run(self, _: int, record: Record) -> None:
+        # The line may have ended, and the record of the attempt may not have been written.
+        batch, line = self.batches[record["batch"]], record["line"]
+        runs = batch.runs.get(line, {})
+        runs.pop(record["run"], None)
+        if not runs:
+            batch.runs.pop(line, None)
 
     def _end_line(self, offset: int, record: Record) -> None:
         batch, line = self.batches[record["batch"]], record["line"]
--- a/lockspoke/core/attempt_lifecycle.py
+++ b/lockspoke/core/attempt_lifecycle.py
@@ -8,12 +8,12 @@
 import structlog
 
 from lockspoke.balancing.actions import SendAttempt
-from lockspoke.balancing.events import AttemptEnded, Event, FirstToken, Outcome
+from lockspoke.balancing.events import NEVER_RAN, AttemptEnded, Event, FirstToken, Outcome
 
 from .interfaces import Clock, Discovery
 from .replica_set import ReplicaSet
 from .request_lifecycle import RequestLifecycle
-from .requests import Attempt, AttemptStage, ClientRequest, SendPermission
+from .requests import Attempt, AttemptStage, ClientRequest, SendNotRecordedError, SendPermission
 from .totals import RequestOutcome
 from .transport import Transport
 
@@ -88,6 +88,9 @@
         sockets, but a busy event loop reads them later. So while the client or discovery has unread input,
         the result is `CHECK_AGAIN`, and the loop reads that input first.
 
+        An attempt whose request has a recorder is recorded first, because it may run as soon as its first
+        byte is sent, and this process may be killed at any time. What is said above may happen meanwhile.
+
         The transport must call this before the first byte of every attempt.
         """
         if attempt.outcome is not None:
@@ -97,10 +100,25 @@
             return SendPermission.ENDED
         if self._discovery.has_unread_changes or attempt.request.response.has_unread_input:
             return SendPermission.CHECK_AGAIN
+        if attempt.must_be_recorded:
+            return SendPermission.RECORD_FIRST
         attempt.stage = AttemptStage.SENT
         attempt.replica.last_attempt_at = self._clock.now()
         return SendPermission.GRANTED
 
+    async def record_send(self, attempt: Attempt) -> None:
+        """Record that an attempt is about to be sent; if that fails, it ends as `NEVER_SENT`."""
+        recorder = attempt.request.send_recorder
+        if recorder is None:
+            return
+        attempt.record_requested = True
+        try:
+            await recorder.record_send(attempt)
+        except SendNotRecordedError:
+            self.attempt_ended(attempt, Outcome.NEVER_SENT)
+        else:
+            attempt.recorded = True
+
     def _send_is_obsolete(self, attempt: Attempt) -> bool:
         """Return whether an attempt that is still connecting must be given up without sending it."""
         now = self._clock.now()
@@ -174,6 +192,8 @@
         attempt.outcome = outcome
         attempt.cancel_deadline_timer()
         request = attempt.request
+        if attempt.record_requested and outcome in NEVER_RAN and request.send_recorder is not None:
+            request.send_recorder.record_never_ran(attempt)
         self._requests.totals.attempt_outcomes[outcome] += 1
         if not request.answered:
             self._complete_request(request, attempt, outcome)
--- a/lockspoke/core/core.py
+++ b/lockspoke/core/core.py
@@ -20,7 +20,7 @@
     Outcome,
     RequestArrived,
 )
-from lockspoke.balancing.repeat_rules import may_be_repeated
+from lockspoke.balancing.repeat_rules import may_be_repeated, restricts_repeats
 from lockspoke.balancing.settings import BalancerSettings
 from lockspoke.units import MILLISECOND, SECOND
 
@@ -115,7 +115,9 @@
                 prefix_tokens=request.prefix_tokens,
                 max_tokens=request.max_tokens,
                 client_retry=request.client_retry,
-                earlier_runs=self._earlier_runs(request.earlier_runs),
+                earlier_runs=self._earlier_runs(request.earlier_runs)
+                if restricts_repeats(request.class_settings)
+                else (),
             )
         )
 
--- a/lockspoke/core/requests.py
+++ b/lockspoke/core/requests.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from lockspoke.balancing.events import NEVER_RAN, Outcome
-from lockspoke.balancing.repeat_rules import may_be_rejected
+from lockspoke.balancing.repeat_rules import may_be_rejected, restricts_repeats
 from lockspoke.balancing.settings import RequestClass
 
 from .interfaces import ResponseWriter, TimerHandle
@@ -24,6 +24,24 @@
     location: ReplicaLocation  # of its replica
 
 
+class SendNotRecordedError(Exception):
+    """An attempt could not be recorded, so it must not be sent."""
+
+
+class SendRecorder(Protocol):
+    """Records attempts before they are sent, so that they are known of after a crash of this process."""
+
+    async def record_send(self, attempt: Attempt) -> None:
+        """Record that an attempt is about to be sent; returns once that would survive a crash.
+
+        Raises:
+            SendNotRecordedError: It could not be recorded.
+        """
+
+    def record_never_ran(self, attempt: Attempt) -> None:
+        """Take back the record of an attempt that has turned out not to have run."""
+
+
 @dataclass(eq=False, slots=True)
 class ClientRequest:
     """A request that a client sent to any of the fronts.
@@ -50,6 +68,8 @@
     background: bool = False  # batch work; any other request is interactive and takes precedence
     # Attempts of the same request that were submitted before, perhaps to an earlier process.
     earlier_runs: tuple[PossibleRun, ...] = ()
+    # Set if an attempt must be recorded before it is sent, unless the class may run any number of times.
+    send_recorder: SendRecorder | None = None
     # Set by the core:
     number: int = 0
     deadline: int = 0
@@ -105,6 +125,7 @@
     GRANTED = "granted"  # send the first byte now, without awaiting anything first
     # Unread input may change the result: check again after one iteration of the event loop.
     CHECK_AGAIN = "check_again"
+    RECORD_FIRST = "record_first"  # await `record_send`, then check again
     ENDED = "ended"  # the attempt has ended: send nothing, and report nothing more
 
 
@@ -114,6 +135,9 @@
     def permission_to_send(self, attempt: Attempt) -> SendPermission:
         """Return whether the first byte may be sent now; called when the connection is established."""
 
+    async def record_send(self, attempt: Attempt) -> None:
+        """Record that the attempt is about to be sent; it ends if that fails."""
+
     def stream_received(self, attempt: Attempt, data: bytes) -> asyncio.Future[None] | None:
         """Handle a chunk of the replica's stream. If a future is returned, read no more until it is done."""
 
@@ -141,6 +165,8 @@
     location: ReplicaLocation = field(init=False)
     start_by: int = 0  # the first byte must be sent before this time; 0: only the deadline applies
     stage: AttemptStage = AttemptStage.CONNECTING
+    record_requested: bool = False  # the request's recorder has been called
+    recorded: bool = False  # the record would survive a crash
     outcome: Outcome | None = None  # None while the attempt is open
     connection_was_idle: bool = False  # the replica may have closed it before the request
     last_received_at: int = 0  # when data last arrived, or when reading was last resumed
@@ -162,10 +188,21 @@
         """Whether the replica may have run it: a byte was sent, and its outcome does not prove otherwise."""
         return self.stage is not AttemptStage.CONNECTING and self.outcome not in NEVER_RAN
 
+    @property
+    def must_be_recorded(self) -> bool:
+        """Whether it must be recorded before it may be sent."""
+        if self.recorded or self.request.send_recorder is None:
+            return False
+        return restricts_repeats(self.request.class_settings)
+
     def permission_to_send(self) -> SendPermission:
         """Return whether the first byte may be sent now; to be called when the connection is established."""
         return self.listener.permission_to_send(self)
 
+    async def record_send(self) -> None:
+        """Record that it is about to be sent; to be called if the permission is `RECORD_FIRST`."""
+        await self.listener.record_send(self)
+
     def stream_received(self, data: bytes) -> asyncio.Future[None] | None:
         """Report a chunk of the replica's stream. If a future is returned, read no more until it is done."""
         return self.listener.stream_received(self, data)
--- a/lockspoke/wire/replicas/transport.py
+++ b/lockspoke/wire/replicas/transport.py
@@ -142,7 +142,10 @@
     """Wait until the attempt may send its first byte; return False if it ends before that."""
     while True:
         permission = attempt.permission_to_send()
-        if permission is not SendPermission.CHECK_AGAIN:
+        if permission is SendPermission.CHECK_AGAIN:
+            # In the next iteration of the loop, other tasks read the input that may change the decision.
+            await asyncio.sleep(0)
+        elif permission is SendPermission.RECORD_FIRST:
+            await attempt.record_send()
+        else:
             return permission is SendPermission.GRANTED
-        # In the next iteration of the loop, other tasks read the input that may change the decision.
-        await asyncio.sleep(0)
--- a/tests/batch/harness.py
+++ b/tests/batch/harness.py
@@ -15,7 +15,7 @@
 from lockspoke.batch.runner import BatchRunner
 from lockspoke.batch.store import BatchStore
 from lockspoke.boot_time import BootTime
-from lockspoke.core.requests import Attempt
+from lockspoke.core.requests import Attempt, AttemptStage
 from lockspoke.units import SECOND
 from lockspoke.wire.http.encoding import encode_request
 from lockspoke.wire.http.messages import MessagePart, RequestHead
@@ -101,8 +101,12 @@
         return batch
 
     def in_flight(self) -> list[Attempt]:
-        """Attempts that have not ended."""
-        return [attempt for attempt in self.core_harness.started if attempt.outcome is None]
+        """Attempts that have been sent and have not ended."""
+        return [
+            attempt
+            for attempt in self.core_harness.started
+            if attempt.outcome is None and attempt.stage is not AttemptStage.CONNECTING
+        ]
 
     def serve(self, attempt: Attempt) -> None:
         """Answer an attempt with a complete response."""
--- a/tests/batch/test_restarts.py
+++ b/tests/batch/test_restarts.py
@@ -5,11 +5,17 @@
 proof that the line had not run, left it open, and the next process sent it again 5.6 s after the first time,
 under a new ID, past the window of 5 s. The journal held nothing between the batch's start and the ends of
 its lines.
+
+`review/6`: lines of a class that may run once were at replicas at a kill. The store knew the ends of lines
+only, so the next process counted these lines as not started and ran all of them a second time.
 """
 
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
+import shutil
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -18,7 +24,8 @@
 from lockspoke.balancing.events import Outcome, ReplicaState
 from lockspoke.balancing.settings import DeduplicationScope, Idempotency, RequestClass
 from lockspoke.batch.line_runner import POLL_INTERVAL
-from lockspoke.batch.records import Batch
+from lockspoke.batch.records import Batch, BatchStatus
+from lockspoke.batch.tasks import RETRY_INTERVAL
 from lockspoke.core.replica_set import EndpointListReplica, ReplicaListUpdate
 from lockspoke.units import SECOND
 from tests.core.harness import idempotent_with_key
@@ -183,3 +190,167 @@
     started = harness.core_harness.started
     assert len(started) > 1 and started[-1].started_at - started[0].started_at < WINDOW
     assert len({attempt.request.request_id for attempt in started}) == 1
+
+
+def copy_at_kill(harness: Harness, folder: Path) -> Path:
+    """The store as a kill at this moment leaves it; the process goes on with its own."""
+    killed = folder / f"killed-{harness.core_harness.time}"
+    shutil.copytree(harness.store.journal.path.parent, killed)
+    return killed
+
+
+def kill_with_open_lines(harness: Harness, folder: Path, count: int) -> tuple[Path, list[str]]:
+    """Kill a process while lines are at replicas; returns its store and the IDs of the requests."""
+    request_ids: list[str] = []
+    killed: list[Path] = []
+
+    async def scenario() -> None:
+        if not harness.store.batches:
+            await harness.create_batch(*lines(count))
+        await until(lambda: len(harness.in_flight()) == count)
+        request_ids.extend(attempt.request.request_id for attempt in harness.in_flight())
+        killed.append(copy_at_kill(harness, folder))
+        harness.runner.slots.stop()
+        harness.core_harness.core.hand_off()
+
+    harness.run(scenario)
+    return killed[0], request_ids
+
+
+@pytest.mark.parametrize(
+    ("request_class", "pause", "sent"),
+    [
+        (REPEATABLE, 20 * SECOND, 2),
+        (WITH_KEY, 4 * SECOND, 2),
+        (WITH_KEY, 6 * SECOND, 0),
+        (WITH_KEY_IN_CELL, 4 * SECOND, 2),
+        (ONCE, SECOND, 0),
+    ],
+)
+def test_a_line_at_a_replica_at_a_kill_is_repeated_only_as_its_class_allows(
+    tmp_path: Path, request_class: RequestClass, pause: int, sent: int
+) -> None:
+    """Guards against: lines that may run once and were at replicas at a kill ran a second time."""
+    first = Harness(tmp_path / "store", classes=(request_class,))
+    killed, request_ids = kill_with_open_lines(first, tmp_path, 2)
+    second = restart(killed, first, pause, request_class)
+    second.run(serve_all(second))
+    assert len(second.core_harness.started) == sent
+    assert second.results(only_batch(second)) == dict.fromkeys(
+        ("c0", "c1"), "served" if sent else "upstream_failed"
+    )
+    if sent and request_class is not REPEATABLE:
+        repeated = [attempt.request.request_id for attempt in second.core_harness.started]
+        assert sorted(repeated) == sorted(request_ids), "replicas recognize a repetition by its ID"
+
+
+def test_a_line_that_has_not_been_sent_is_served_after_a_kill(tmp_path: Path) -> None:
+    """Its first attempt is connecting, and the second line has not begun."""
+    first = Harness(tmp_path / "store", concurrency=1, classes=(ONCE,))
+    first.core_harness.connects_at_once = False
+    killed: list[Path] = []
+
+    async def scenario() -> None:
+        await first.create_batch(*lines(2))
+        await until(lambda: len(first.core_harness.started) == 1)
+        killed.append(copy_at_kill(first, tmp_path))
+        first.runner.slots.stop()
+        first.core_harness.core.hand_off()
+
+    first.run(scenario)
+    second = restart(killed[0], first, SECOND, ONCE)
+    second.run(serve_all(second))
+    assert second.results(only_batch(second)) == {"c0": "served", "c1": "served"}
+
+
+@pytest.mark.parametrize("outcome", [Outcome.OVERLOADED, Outcome.CONNECT_FAILED])
+def test_a_line_that_has_been_proved_not_to_have_run_is_served_after_a_kill(
+    tmp_path: Path, outcome: Outcome
+) -> None:
+    """Guards against: the record of an attempt outlived the proof that it had not run."""
+    first = Harness(tmp_path / "store", replicas=1, classes=(ONCE,))
+    killed: list[Path] = []
+
+    async def scenario() -> None:
+        batch = await first.create_batch(*lines(1))
+        await until(lambda: len(first.in_flight()) == 1)
+        first.in_flight()[0].end(outcome)
+        await until(lambda: not batch.runs.get(0))
+        killed.append(copy_at_kill(first, tmp_path))
+        first.runner.slots.stop()
+        first.core_harness.core.hand_off()
+
+    first.run(scenario)
+    second = restart(killed[0], first, SECOND, ONCE)
+    second.run(serve_all(second))
+    assert second.results(only_batch(second)) == {"c0": "served"}
+
+
+def test_a_line_is_not_sent_while_the_store_cannot_be_written(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    harness = Harness(tmp_path, classes=(ONCE,))
+
+    def fail(*_: object) -> None:
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    async def scenario() -> None:
+        harness.runner.slots.stopping = True  # No line starts yet.
+        batch = await harness.create_batch(*lines(1))
+        await until(lambda: batch.status is BatchStatus.IN_PROGRESS)
+        with monkeypatch.context() as patch:
+            patch.setattr(os, "write", fail)
+            harness.runner.slots.stopping = False
+            harness.runner.notify()
+            await until(lambda: bool(harness.core_harness.started))
+            await asyncio.sleep(0.3)
+            assert not harness.in_flight()
+        await asyncio.sleep(RETRY_INTERVAL)
+        harness.clock += 2  # The backoff of the rejected request ends.
+        await until(lambda: bool(harness.in_flight()))
+        harness.serve(harness.in_flight()[0])
+        await until(lambda: batch.is_final)
+        assert harness.results(batch) == {"c0": "served"}
+
+    harness.run(scenario)
+
+
+def test_two_kills_in_a_row(tmp_path: Path) -> None:
+    """The window counts from the first of all attempts, and a third process knows of both earlier ones."""
+    processes = [Harness(tmp_path / "store", classes=(WITH_KEY,))]
+    ids = set()
+    for _ in range(2):
+        killed, request_ids = kill_with_open_lines(processes[-1], tmp_path, 1)
+        ids |= set(request_ids)
+        processes.append(restart(killed, processes[-1], 2 * SECOND, WITH_KEY))
+    shutil.copytree(killed, tmp_path / "late")
+    late = restart(tmp_path / "late", processes[-2], 3 * SECOND, WITH_KEY)
+    for harness, result in ((processes[-1], "served"), (late, "upstream_failed")):
+        harness.run(serve_all(harness))
+        assert harness.results(only_batch(harness)) == {"c0": result}
+        ids |= {attempt.request.request_id for attempt in harness.core_harness.started}
+    assert len(ids) == 1
+
+
+def test_two_kills_before_a_line_that_may_run_once_has_ended(tmp_path: Path) -> None:
+    first = Harness(tmp_path / "store", classes=(ONCE,))
+    killed, _ = kill_with_open_lines(first, tmp_path, 1)
+    shutil.copytree(
+        killed, tmp_path / "again"
+    )  # The second process is killed before it has written anything.
+    for folder in (killed, tmp_path / "again"):
+        harness = restart(folder, first, SECOND, ONCE)
+        harness.run(serve_all(harness))
+        assert not harness.core_harness.started
+        assert harness.results(only_batch(harness)) == {"c0": "upstream_failed"}
+
+
+def test_the_record_of_an_attempt_that_a_kill_has_torn_does_not_count(tmp_path: Path) -> None:
+    """The first byte is sent once the record is complete on the disk, so the attempt was not sent."""
+    first = Harness(tmp_path / "store", classes=(ONCE,))
+    killed, _ = kill_with_open_lines(first, tmp_path, 1)
+    journal = killed / "journal.log"
+    journal.write_bytes(journal.read_bytes()[:-5])
+    second = restart(killed, first, SECOND, ONCE)
+    second.run(serve_all(second))
+    assert second.results(only_batch(second)) == {"c0": "served"}
--- a/tests/core/harness.py
+++ b/tests/core/harness.py
@@ -69,6 +69,7 @@
         self.connects_at_once = True  # whether each attempt requests permission to send when it starts
         self.has_unread_changes = False
         self.unread_responses: set[Attempt] = set()
+        self.recording: list[asyncio.Task[None]] = []  # attempts that are being recorded before they are sent
         self.core = Core(settings(**changes), 7, ReplicaSet(Identifiers(), ["z"]), self, self, self)
         entries = tuple(
             EndpointListReplica(f"w{i}", ReplicaState.READY, ("127.0.0.1", 5000 + i), "z")
@@ -106,7 +107,15 @@
     def start(self, attempt: Attempt) -> None:
         self.started.append(attempt)
         if self.connects_at_once:
-            assert attempt.permission_to_send() is SendPermission.GRANTED
+            permission = attempt.permission_to_send()
+            if permission is SendPermission.RECORD_FIRST:
+                self.recording.append(asyncio.ensure_future(self._record_and_send(attempt)))
+            else:
+                assert permission is SendPermission.GRANTED
+
+    async def _record_and_send(self, attempt: Attempt) -> None:
+        await attempt.record_send()
+        assert attempt.permission_to_send() is not SendPermission.RECORD_FIRST
 
     def cancel(self, attempt: Attempt) -> None:
         self.cancelled.append(attempt)
--- a/tests/core/test_send_permission.py
+++ b/tests/core/test_send_permission.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 import pytest
 
-from lockspoke.balancing.events import Outcome, ReplicaState
+from lockspoke.balancing.events import NEVER_RAN, Outcome, ReplicaState
 from lockspoke.balancing.settings import Idempotency, RequestClass
 from lockspoke.core.replica_set import EndpointListReplica, ReplicaListUpdate
-from lockspoke.core.requests import ClientRequest, SendPermission
+from lockspoke.core.requests import (
+    Attempt,
+    AttemptStage,
+    ClientRequest,
+    SendNotRecordedError,
+    SendPermission,
+)
 from lockspoke.units import MILLISECOND, SECOND
 from tests.core.harness import CoreHarness, idempotent_with_key
 
@@ -94,3 +101,107 @@
     assert attempt.permission_to_send() is SendPermission.CHECK_AGAIN and attempt.outcome is None
     response.has_unread_input = False
     assert attempt.permission_to_send() is SendPermission.GRANTED
+
+
+class FakeRecorder:
+    """A recorder whose writes the test ends."""
+
+    def __init__(self) -> None:
+        self.log: list[str] = []
+        self.write: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    async def record_send(self, attempt: Attempt) -> None:
+        self.log.append(f"send {attempt.index}")
+        await asyncio.shield(self.write)
+
+    def record_never_ran(self, attempt: Attempt) -> None:
+        self.log.append(f"never ran {attempt.index}")
+
+
+ONCE = RequestClass(idempotency=Idempotency.NOT_IDEMPOTENT)
+
+
+def harness_that_records() -> tuple[CoreHarness, ClientRequest, FakeRecorder]:
+    """A request whose attempts must be recorded; the first one is connected."""
+    harness, recorder = CoreHarness(classes=(ONCE,)), FakeRecorder()
+    harness.connects_at_once = False
+    request, _ = harness.submit(send_recorder=recorder)
+    return harness, request, recorder
+
+
+def test_an_attempt_is_recorded_before_its_first_byte() -> None:
+    """Guards against: a crash left no trace of an attempt that may have run."""
+
+    async def scenario() -> None:
+        _, request, recorder = harness_that_records()
+        (attempt,) = request.attempts
+        assert attempt.permission_to_send() is SendPermission.RECORD_FIRST
+        recording = asyncio.ensure_future(attempt.record_send())
+        await asyncio.sleep(0)
+        assert attempt.permission_to_send() is SendPermission.RECORD_FIRST
+        assert attempt.stage is AttemptStage.CONNECTING
+        recorder.write.set_result(None)
+        await recording
+        assert attempt.permission_to_send() is SendPermission.GRANTED
+        assert recorder.log == ["send 0"]
+
+    asyncio.run(scenario())
+
+
+def test_a_class_that_may_run_any_number_of_times_is_not_recorded() -> None:
+    async def scenario() -> None:
+        harness, recorder = CoreHarness(), FakeRecorder()
+        harness.submit(send_recorder=recorder)
+        harness.started[0].end(Outcome.OVERLOADED)
+        assert recorder.log == []
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("change", [client_disconnects, replica_drains, replica_restarts, replica_is_banned])
+def test_a_change_while_an_attempt_is_recorded_prevents_sending(
+    change: Callable[[CoreHarness, ClientRequest], None],
+) -> None:
+    """The time that the record takes is part of the time in which a drain or a disconnect is noticed."""
+
+    async def scenario() -> None:
+        harness, request, recorder = harness_that_records()
+        attempt = request.attempts[0]
+        recording = asyncio.ensure_future(attempt.record_send())
+        await asyncio.sleep(0)
+        change(harness, request)
+        recorder.write.set_result(None)
+        await recording
+        assert attempt.permission_to_send() is SendPermission.ENDED
+        assert attempt.outcome is Outcome.NEVER_SENT
+        assert recorder.log == ["send 0", "never ran 0"]
+
+    asyncio.run(scenario())
+
+
+def test_an_attempt_that_cannot_be_recorded_is_not_sent() -> None:
+    async def scenario() -> None:
+        harness, request, recorder = harness_that_records()
+        recorder.write.set_exception(SendNotRecordedError("no space left on device"))
+        attempt = request.attempts[0]
+        await attempt.record_send()
+        assert attempt.permission_to_send() is SendPermission.ENDED
+        assert attempt.outcome is Outcome.NEVER_SENT
+        # The request has not run, so it goes on at another replica.
+        assert len(harness.started) == 2
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("outcome", list(Outcome))
+def test_the_record_is_taken_back_if_the_outcome_proves_that_it_never_ran(outcome: Outcome) -> None:
+    async def scenario() -> None:
+        _, request, recorder = harness_that_records()
+        recorder.write.set_result(None)
+        attempt = request.attempts[0]
+        await attempt.record_send()
+        assert attempt.permission_to_send() is SendPermission.GRANTED
+        attempt.end(outcome)
+        assert recorder.log == ["send 0", *(["never ran 0"] if outcome in NEVER_RAN else [])]
+
+    asyncio.run(scenario())
--- a/tests/wire/replicas/test_keepalive.py
+++ b/tests/wire/replicas/test_keepalive.py
@@ -58,6 +58,9 @@
         del attempt
         return SendPermission.GRANTED
 
+    async def record_send(self, attempt: Attempt) -> None:
+        raise AssertionError("no request here has a recorder")
+
     def stream_received(self, attempt: Attempt, data: bytes) -> None:
         del attempt, data
 
