The error of a line that may have run says so after a cancellation or expiry too

Seen: a line that was at a replica at a kill, or between two attempts, and whose batch was cancelled or expired, ended with "This request was not executed". A client that believes it repeats a request that may have run.

Cause: the message followed from the line's status alone.

Change: a result is told whether the line may have run, by its records in the store, its attempts in this process and, for free lines after a restart, by their place among the open lines (started in order, a bounded number at once).

--- a/lockspoke/batch/batch_run.py
+++ b/lockspoke/batch/batch_run.py
@@ -21,6 +21,8 @@
     next_line: int = 0  # The next line to examine; every line before it is active or has ended.
     active: set[int] = field(default_factory=set)  # Lines in flight, backing off or being ended.
     drained: asyncio.Event = field(default_factory=asyncio.Event)  # Set once all lines have ended.
+    # Open lines that may have run, besides those of which the store has a record.
+    possibly_run: set[int] = field(default_factory=set)
     # A heap of (deadline, line) for the lines that set a deadline of their own.
     _own_deadlines: list[tuple[float, int]] = field(default_factory=list)
 
@@ -35,6 +37,10 @@
         """Whether `take_next` has examined all lines."""
         return self.next_line >= self.batch.total
 
+    def may_have_run(self, line: int) -> bool:
+        """Whether a replica may have run an open line."""
+        return line in self.possibly_run or line in self.batch.runs
+
     def deadline(self, line: int) -> float:
         """The Unix time at which the line expires: the batch's deadline or its own, whichever is earlier."""
         batch_deadline = float(self.batch.expires_at)
--- a/lockspoke/batch/line_runner.py
+++ b/lockspoke/batch/line_runner.py
@@ -138,6 +138,8 @@
         result = await response.result
         if result.outcome is not AttemptOutcome.SERVED:
             await runs.add(request)
+            if request.possible_runs:
+                run.possibly_run.add(line)
         if result.outcome is AttemptOutcome.FAILED and request.only_ran_earlier:
             return REJECTED_ATTEMPT
         return result
@@ -165,9 +167,12 @@
 
         async def store_end() -> None:
             # Retried as well, because the input file cannot be read while no file descriptor is free.
-            result = self.lines.new_result(run.batch, run.index.offsets[line], status, body)
+            result = self.lines.new_result(
+                run.batch, run.index.offsets[line], status, body, run.may_have_run(line)
+            )
             await self.store.end_line(run.batch, line, status, result)
 
         await retry_until_stored(store_end)
         run.active.discard(line)
+        run.possibly_run.discard(line)
         self.slots.changed.set()
--- a/lockspoke/batch/lines.py
+++ b/lockspoke/batch/lines.py
@@ -109,9 +109,9 @@
         )
 
     def new_result(
-        self, batch: Batch, offset: int, status: LineStatus, body: dict[str, Any]
+        self, batch: Batch, offset: int, status: LineStatus, body: dict[str, Any], may_have_run: bool = False
     ) -> dict[str, Any]:
-        """The result of the line at an offset; `body` is the response of a line that was served.
+        """The result of the line at an offset; see `results.new_result`.
 
         The result's `custom_id` is empty if the input file was deleted or changed.
 
@@ -124,7 +124,7 @@
             # The line must end even though its `custom_id` can no longer be read.
             self._lost_input_log.info(self.store.now(), batch=batch.id, reason=repr(error))
             custom_id = ""
-        return new_result(custom_id, status, body)
+        return new_result(custom_id, status, body, may_have_run)
 
 
 def _request_extra(prompt: PromptSize, prefix: str) -> str:
--- a/lockspoke/batch/results.py
+++ b/lockspoke/batch/results.py
@@ -8,16 +8,33 @@
 from .json_text import encode_json
 from .records import LineStatus
 
-# Error codes and messages of lines that were not served.
-_LINE_ERRORS = {
-    LineStatus.FAILED: ("upstream_failed", "The request was tried and failed; it may have run."),
-    LineStatus.CANCELLED: ("batch_cancelled", "This request was not executed: the batch was cancelled."),
-    LineStatus.EXPIRED: ("batch_expired", "This request could not be executed before its deadline."),
+_ERROR_CODES = {
+    LineStatus.FAILED: "upstream_failed",
+    LineStatus.CANCELLED: "batch_cancelled",
+    LineStatus.EXPIRED: "batch_expired",
 }
+_MESSAGES_IF_NOT_RUN = {
+    LineStatus.CANCELLED: "This request was not executed: the batch was cancelled.",
+    LineStatus.EXPIRED: "This request could not be executed before its deadline.",
+}
+_MESSAGES_IF_MAY_HAVE_RUN = {
+    LineStatus.FAILED: "The request was tried and failed; it may have run.",
+    LineStatus.CANCELLED: "The batch was cancelled before this request was answered; it may have run.",
+    LineStatus.EXPIRED: "This request was not answered before its deadline; it may have run.",
+}
+
 
+def new_result(
+    custom_id: str, status: LineStatus, body: dict[str, Any], may_have_run: bool = False
+) -> dict[str, Any]:
+    """The result of a line, with newly generated IDs.
 
-def new_result(custom_id: str, status: LineStatus, body: dict[str, Any]) -> dict[str, Any]:
-    """The result of a line, with newly generated IDs; `body` is the response if the line was served."""
+    Args:
+        custom_id: The line's own ID.
+        status: How the line ended.
+        body: The response if the line was served.
+        may_have_run: Whether a replica may have run a line that was not served; a failed one always may have.
+    """
     result: dict[str, Any] = {
         "id": f"batch_req_{secrets.token_hex(12)}",
         "custom_id": custom_id,
@@ -28,8 +45,9 @@
     if status is LineStatus.SERVED:
         result["response"] = {"status_code": 200, "request_id": request_id, "body": body}
     else:
-        code, message = _LINE_ERRORS[status]
-        result["error"] = {"code": code, "message": message}
+        failed = status is LineStatus.FAILED
+        messages = _MESSAGES_IF_MAY_HAVE_RUN if failed or may_have_run else _MESSAGES_IF_NOT_RUN
+        result["error"] = {"code": _ERROR_CODES[status], "message": messages[status]}
     return result
 
 
--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import islice
 
 import structlog
 
@@ -49,6 +50,7 @@
             boot_time: Reads the clock that processes share.
         """
         self.store = store
+        self.core = core
         self.lines = lines
         self.now = now
         self.slots = LineSlots(core, concurrency)
@@ -91,9 +93,12 @@
         except InvalidInputFileError as error:
             await self._fail_batch(batch, error)
             return
-        if not batch.total:
+        is_resumed = bool(batch.total)
+        if not is_resumed:
             await self._set_in_progress(batch, index)
         run = BatchRun(batch, index)
+        if is_resumed:
+            run.possibly_run.update(self._possibly_started(batch))
         open_lines = batch.line_statuses.count(LineStatus.OPEN)
         log.info("batch_started", batch=batch.id, lines=batch.total, open_lines=open_lines)
         if batch.runs:
@@ -102,6 +107,16 @@
         await run.drained.wait()
         await self._finish_batch(batch)
 
+    def _possibly_started(self, batch: Batch) -> Iterator[int]:
+        """Open lines of a batch that an earlier process may have started without leaving a record.
+
+        Lines are started in their order, and only so many can be open at once.
+        """
+        if self.core.restricts_repeats(self.lines.request_class):
+            return iter(())
+        open_lines = (line for line in range(batch.total) if batch.is_open(line))
+        return islice(open_lines, self.slots.max_backlog)
+
     async def _index_input_file(self, batch: Batch) -> InputIndex:
         """Index the input file, retrying until it can be read.
 
--- a/lockspoke/batch/slots.py
+++ b/lockspoke/batch/slots.py
@@ -25,10 +25,15 @@
         self.stopping = False
         self.changed = asyncio.Event()  # Set to wake the scheduler.
 
+    @property
+    def max_backlog(self) -> int:
+        """The most lines in flight or backing off at the same time."""
+        return BACKLOG_FACTOR * self.concurrency
+
     @property
     def backlog_full(self) -> bool:
         """Whether too many lines are in flight or backing off for a new one to start."""
-        return self.in_flight + self.backing_off >= BACKLOG_FACTOR * self.concurrency
+        return self.in_flight + self.backing_off >= self.max_backlog
 
     def available(self) -> bool:
         """Whether an attempt may start now; interactive requests go first."""
--- a/lockspoke/core/core.py
+++ b/lockspoke/core/core.py
@@ -121,6 +121,10 @@
             )
         )
 
+    def restricts_repeats(self, request_class: int) -> bool:
+        """Return whether a request of a class that may have run must not be submitted again at will."""
+        return restricts_repeats(self.balancer.settings.classes[request_class])
+
     def may_be_repeated(self, request_class: int, runs: Iterable[PossibleRun]) -> bool:
         """Return whether a request of a class may be submitted again after these attempts."""
         settings = self.balancer.settings.classes[request_class]
--- a/tests/batch/test_restarts.py
+++ b/tests/batch/test_restarts.py
@@ -14,6 +14,7 @@
 
 import asyncio
 import errno
+import json
 import os
 import shutil
 from collections.abc import Awaitable, Callable
@@ -24,7 +25,7 @@
 from lockspoke.balancing.events import Outcome, ReplicaState
 from lockspoke.balancing.settings import DeduplicationScope, Idempotency, RequestClass
 from lockspoke.batch.line_runner import POLL_INTERVAL
-from lockspoke.batch.records import Batch, BatchStatus
+from lockspoke.batch.records import Batch, BatchStatus, LineStatus
 from lockspoke.batch.tasks import RETRY_INTERVAL
 from lockspoke.core.replica_set import EndpointListReplica, ReplicaListUpdate
 from lockspoke.units import SECOND
@@ -354,3 +355,83 @@
     second = restart(killed, first, SECOND, ONCE)
     second.run(serve_all(second))
     assert second.results(only_batch(second)) == {"c0": "served"}
+
+
+async def cancel(harness: Harness) -> None:
+    await harness.store.set_status(only_batch(harness), BatchStatus.CANCELLING)
+    harness.runner.notify()
+
+
+def error_messages(harness: Harness) -> dict[str, tuple[str, bool]]:
+    """The error code of each line, and whether its message says that the line may have run."""
+    path = harness.store.path(only_batch(harness).error_file_id)
+    rows = [json.loads(row) for row in path.read_bytes().splitlines()]
+    errors = {row["custom_id"]: row["error"] for row in rows}
+    return {name: (error["code"], "may have run" in error["message"]) for name, error in errors.items()}
+
+
+@pytest.mark.parametrize("request_class", [REPEATABLE, WITH_KEY, ONCE])
+@pytest.mark.parametrize("cancelled_before_the_kill", [True, False])
+def test_the_error_of_a_cancelled_line_says_that_it_may_have_run(
+    tmp_path: Path, request_class: RequestClass, cancelled_before_the_kill: bool
+) -> None:
+    """Guards against: "was not executed" of a line that was at a replica at a kill, beside a cancellation."""
+    first = Harness(tmp_path / "store", concurrency=1, classes=(request_class,))
+    killed: list[Path] = []
+
+    async def scenario() -> None:
+        await first.create_batch(*lines(6))
+        await until(lambda: len(first.in_flight()) == 1)
+        if cancelled_before_the_kill:
+            await cancel(first)
+            await until(lambda: only_batch(first).line_counts.get(LineStatus.CANCELLED) == 5)
+        killed.append(copy_at_kill(first, tmp_path))
+        first.runner.slots.stop()
+        first.core_harness.core.hand_off()
+
+    first.run(scenario)
+    second = restart(killed[0], first, 6 * SECOND, request_class)
+    second.runner.slots.stopping = True  # No line starts before the cancellation.
+
+    async def after_the_restart() -> None:
+        if not cancelled_before_the_kill:
+            await cancel(second)
+        await until(lambda: only_batch(second).is_final)
+
+    second.run(after_the_restart)
+    assert not second.core_harness.started
+    assert only_batch(second).status is BatchStatus.CANCELLED
+    messages = error_messages(second)
+    assert messages["c0"] == ("batch_cancelled", True)
+    assert messages["c5"] == ("batch_cancelled", False)
+
+
+@pytest.mark.parametrize("request_class", [REPEATABLE, ONCE])
+def test_the_error_of_an_expired_line_says_that_it_may_have_run(
+    tmp_path: Path, request_class: RequestClass
+) -> None:
+    first = Harness(tmp_path / "store", concurrency=1, classes=(request_class,))
+    killed, _ = kill_with_open_lines(first, tmp_path, 1)
+    second = restart(killed, first, 100 * SECOND, request_class)
+    second.run(serve_all(second))
+    assert only_batch(second).status is BatchStatus.EXPIRED
+    assert error_messages(second) == {"c0": ("batch_expired", True)}
+
+
+def test_the_error_of_a_line_that_failed_before_it_was_cancelled_says_that_it_may_have_run(
+    tmp_path: Path,
+) -> None:
+    """The same within one process: the line waits for its next attempt as the batch is cancelled."""
+    harness = Harness(tmp_path)
+
+    async def scenario() -> None:
+        batch = await harness.create_batch(*lines(1))
+        await until(lambda: len(harness.in_flight()) == 1)
+        harness.in_flight()[0].stream_received(EVENTS[0])
+        harness.in_flight()[0].end(Outcome.RESET)
+        await until(lambda: harness.runner.slots.backing_off == 1)
+        await cancel(harness)
+        await until(lambda: batch.is_final)
+
+    harness.run(scenario)
+    assert error_messages(harness) == {"c0": ("batch_cancelled", True)}
