Lines of a batch that ran without records of attempts may have run when it is resumed

Cause, read from the code: a batch that an older version began, or that ran while its class was free, has lines that were at replicas at a kill or a planned stop and no record of them. Resumed under a class that restricts repeats they ran a second time.

Change: a batch says in the store whether each attempt so far has left a record. If not, its first open lines, as many as may be open at once, are recorded as possible runs of an unknown time before any line starts: lines start in the order of the file.

Recorded bytes of the store unchanged: a free class writes nothing more.

--- a/lockspoke/batch/records.py
+++ b/lockspoke/batch/records.py
@@ -112,6 +112,8 @@
     # The journal offset of each line's result, by line number.
     result_offsets: array[int] = field(default_factory=lambda: array("Q"))
     line_counts: dict[LineStatus, int] = field(default_factory=dict)
+    # Whether each attempt of its lines so far has left a record. The class of lines decides whether they do.
+    attempts_recorded: bool = False
     # The attempts that may have run, by their number, of each open line whose class restricts repeats.
     runs: dict[int, dict[int, LineRun]] = field(default_factory=dict)
 
--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterator
-from itertools import islice
+from collections.abc import Callable
 
 import structlog
 
@@ -17,6 +16,7 @@
 from .lines import BatchLines
 from .records import Batch, BatchStatus, LineStatus
 from .results import encode_result
+from .resumption import prepare_resumed_batch
 from .scheduler import LineScheduler
 from .slots import LineSlots
 from .store import BatchStore
@@ -98,7 +98,8 @@
             await self._set_in_progress(batch, index)
         run = BatchRun(batch, index)
         if is_resumed:
-            run.possibly_run.update(self._possibly_started(batch))
+            restricts_repeats = self.core.restricts_repeats(self.lines.request_class)
+            await prepare_resumed_batch(self.store, run, restricts_repeats, self.slots.max_backlog)
         open_lines = batch.line_statuses.count(LineStatus.OPEN)
         log.info("batch_started", batch=batch.id, lines=batch.total, open_lines=open_lines)
         if batch.runs:
@@ -107,16 +108,6 @@
         await run.drained.wait()
         await self._finish_batch(batch)
 
-    def _possibly_started(self, batch: Batch) -> Iterator[int]:
-        """Open lines of a batch that an earlier process may have started without leaving a record.
-
-        Lines are started in their order, and only so many can be open at once.
-        """
-        if self.core.restricts_repeats(self.lines.request_class):
-            return iter(())
-        open_lines = (line for line in range(batch.total) if batch.is_open(line))
-        return islice(open_lines, self.slots.max_backlog)
-
     async def _index_input_file(self, batch: Batch) -> InputIndex:
         """Index the input file, retrying until it can be read.
 
@@ -138,11 +129,14 @@
         log.info("batch_failed", batch=batch.id, invalid_lines=len(error.errors))
 
     async def _set_in_progress(self, batch: Batch, index: InputIndex) -> None:
+        attempts_recorded = self.core.restricts_repeats(self.lines.request_class)
+
         async def store_total() -> None:
             async with self.store.status_lock:
                 # If a client has cancelled the batch during validation, its lines end as cancelled.
                 status = BatchStatus.CANCELLING if batch.is_cancelling else BatchStatus.IN_PROGRESS
-                await self.store.set_status(batch, status, total=len(index.offsets))
+                details = {"attempts_recorded": True} if attempts_recorded else {}
+                await self.store.set_status(batch, status, total=len(index.offsets), **details)
 
         await retry_until_stored(store_total)
 
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -208,6 +208,10 @@
         """
         await self._write({"op": "never_ran", "batch": batch.id, "line": line, "run": number})
 
+    async def set_attempts_recorded(self, batch: Batch, recorded: bool) -> None:
+        """Store whether each attempt of the batch's lines so far has left a record."""
+        await self._write({"op": "attempts_recorded", "batch": batch.id, "attempts_recorded": recorded})
+
     async def end_line(self, batch: Batch, line: int, status: LineStatus, result: dict[str, Any]) -> None:
         """Store the final status of a line, with its entry for the result file.
 
--- a/lockspoke/batch/tables.py
+++ b/lockspoke/batch/tables.py
@@ -42,6 +42,7 @@
             "line": self._end_line,
             "run": self._add_run,
             "never_ran": self._drop_run,
+            "attempts_recorded": self._set_attempts_recorded,
         }
 
     def apply(self, offset: int, record: Record) -> None:
@@ -87,6 +88,7 @@
         batch.status = BatchStatus(record["status"])
         batch.entered_at[batch.status] = record["at"]
         batch.errors = record.get("errors", batch.errors)
+        batch.attempts_recorded = record.get("attempts_recorded", batch.attempts_recorded)
         if "total" in record:
             batch.set_total(record["total"])
         if "output" in record:
@@ -112,6 +114,9 @@
         if not runs:
             batch.runs.pop(line, None)
 
+    def _set_attempts_recorded(self, _: int, record: Record) -> None:
+        self.batches[record["batch"]].attempts_recorded = record["attempts_recorded"]
+
     def _end_line(self, offset: int, record: Record) -> None:
         batch, line = self.batches[record["batch"]], record["line"]
         if not batch.is_open(line):
--- a/lockspoke/boot_time.py
+++ b/lockspoke/boot_time.py
@@ -29,6 +29,9 @@
         return None if elapsed < 0 else elapsed
 
 
+UNKNOWN_BOOT_TIME = BootTime("", 0)
+
+
 @cache
 def _boot_id() -> str:
     try:
--- a/tests/batch/test_restarts.py
+++ b/tests/batch/test_restarts.py
@@ -435,3 +435,39 @@
 
     harness.run(scenario)
     assert error_messages(harness) == {"c0": ("batch_cancelled", True)}
+
+
+def test_lines_of_a_batch_without_records_may_have_run(tmp_path: Path) -> None:
+    """Guards against: lines that an older version, or one with other settings, had sent ran a second time.
+
+    They are the first open ones, as many as may be open at once.
+    """
+    first = Harness(tmp_path / "store", classes=(REPEATABLE,))
+    killed: list[Path] = []
+
+    async def begin() -> None:
+        await first.create_batch(*lines(8))
+        await until(lambda: len(first.in_flight()) == 2)
+        killed.append(copy_at_kill(first, tmp_path))
+        first.runner.slots.stop()
+        first.core_harness.core.hand_off()
+
+    first.run(begin)
+    second = restart(killed[0], first, SECOND, ONCE)
+    killed_again, _ = kill_with_open_lines(second, tmp_path, 2)
+    third = restart(killed_again, second, SECOND, ONCE)
+    third.run(serve_all(third))
+    unknown = [f"c{line}" for line in range(second.runner.slots.max_backlog)]
+    recorded, unsent = ["c4", "c5"], ["c6", "c7"]
+    failed = dict.fromkeys([*unknown, *recorded], "upstream_failed")
+    assert third.results(only_batch(third)) == failed | dict.fromkeys(unsent, "served")
+
+
+def test_lines_of_a_batch_without_records_run_again_if_their_class_allows_it(tmp_path: Path) -> None:
+    first = Harness(tmp_path / "store", classes=(ONCE,))
+    killed, _ = kill_with_open_lines(first, tmp_path, 2)
+    second = restart(killed, first, SECOND, REPEATABLE)
+    assert only_batch(second).attempts_recorded
+    second.run(serve_all(second))
+    assert second.results(only_batch(second)) == {"c0": "served", "c1": "served"}
+    assert not only_batch(second).attempts_recorded
