Spans of batches and uploads outlast a step of the wall clock between two starts

Cause: times are stored as Unix time and were compared with the clock of the next process, which had stepped.

Change: batches and uploads are stored with the start of the machine as their process's clock dated it; the next process moves the times of what is unfinished by the difference to its own. Nothing is moved after a start of the machine.

--- a/lockspoke/batch/records.py
+++ b/lockspoke/batch/records.py
@@ -11,7 +11,7 @@
 from enum import IntEnum, StrEnum
 from typing import Any
 
-from lockspoke.boot_time import BootTime
+from lockspoke.boot_time import BootTime, MachineStart
 
 
 class LineStatus(IntEnum):
@@ -77,6 +77,7 @@
     status: UploadStatus = UploadStatus.PENDING
     parts: dict[str, int] = field(default_factory=dict)  # Maps the ID of each part to its size in bytes.
     file_id: str = ""
+    clock: MachineStart | None = None  # Of the process that created it.
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,6 +101,7 @@
     created_at: int
     expires_at: int
     metadata: dict[str, str]
+    clock: MachineStart | None = None  # Of the process that created it.
     status: BatchStatus = BatchStatus.VALIDATING
     entered_at: dict[BatchStatus, int] = field(
         default_factory=dict
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -13,10 +13,12 @@
 from pathlib import Path
 from typing import Any, BinaryIO
 
+from lockspoke.boot_time import UNKNOWN_BOOT_TIME, BootTime, machine_start
+
 from .contents import ContentFolder, Digests, content_size
 from .journal import Journal, Record, StoreError
 from .records import Batch, BatchStatus, File, LineRun, LineStatus, Upload, UploadStatus
-from .tables import StoreTables, encode_run
+from .tables import StoreTables, encode_clock, encode_run
 
 ResultEncoder = Callable[[dict[str, Any]], bytes]
 
@@ -24,17 +26,22 @@
 class BatchStore:
     """Everything that the batch front stores, in one folder."""
 
-    def __init__(self, folder: Path, now: Callable[[], float]) -> None:
+    def __init__(
+        self, folder: Path, now: Callable[[], float], boot_time: BootTime = UNKNOWN_BOOT_TIME
+    ) -> None:
         """Open the store.
 
         Args:
             folder: The folder of the store; created if it does not exist.
-            now: Gives the Unix time in seconds.
+            now: Gives the Unix time in seconds; it advances steadily while the store is open.
+            boot_time: The time since the start of the machine, by which a step of `now` from one process
+                to the next is recognized.
 
         Raises:
             StoreError: The store is damaged or another program uses it.
         """
         self.now = now
+        self._clock = machine_start(boot_time, now())
         self.executor = ThreadPoolExecutor(1, "store")
         self.contents = ContentFolder(folder, self.executor)
         self._tables = StoreTables()
@@ -52,6 +59,7 @@
         self.journal = Journal(folder / "journal.log", self.executor)
         for offset, record in self.journal.load():
             self._tables.apply(offset, record)
+        self._tables.follow_clock(self._clock)
         self.contents.remove_unreferenced(self.files, self._parts_of_pending_uploads())
 
     def _parts_of_pending_uploads(self) -> set[str]:
@@ -130,7 +138,8 @@
             "expires_at": now + lifetime,
             **fields,
         }
-        await self._write({"op": "upload", "made": upload_record, "key": key, "print": fingerprint})
+        record = {"op": "upload", "made": upload_record, "key": key, "print": fingerprint}
+        await self._write(record | encode_clock(self._clock))
         return self.uploads[upload_record["id"]]
 
     async def add_part(self, upload: Upload, content: Path, key: str, fingerprint: str) -> str:
@@ -183,7 +192,8 @@
     async def add_batch(self, key: str, fingerprint: str, **fields: Any) -> Batch:
         """Create a batch; `fields` are further fields of `Batch`."""
         batch_record = {"id": f"batch_{secrets.token_hex(12)}", "created_at": int(self.now()), **fields}
-        await self._write({"op": "batch", "made": batch_record, "key": key, "print": fingerprint})
+        record = {"op": "batch", "made": batch_record, "key": key, "print": fingerprint}
+        await self._write(record | encode_clock(self._clock))
         return self.batches[batch_record["id"]]
 
     async def set_status(self, batch: Batch, status: BatchStatus, **details: Any) -> None:
--- a/lockspoke/batch/subsystem.py
+++ b/lockspoke/batch/subsystem.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from lockspoke.boot_time import read_boot_time
 from lockspoke.core.core import Core
 from lockspoke.lifecycle.config import ConfigError, GatewayConfig
 from lockspoke.lifecycle.subsystems import EndpointListSource, Subsystem, SubsystemContext
@@ -70,7 +71,7 @@
         """Open the store and connect runner and front; raises ConfigError if the store cannot be opened."""
         settings = self.settings
         try:
-            self.store = BatchStore(Path(settings.store), steady_unix_time)
+            self.store = BatchStore(Path(settings.store), steady_unix_time, read_boot_time())
         except (StoreError, OSError) as error:
             raise ConfigError(f"batch.store: {error}") from None
         first_token_timeout = self.gateway.deadlines[self.request_class]
--- a/lockspoke/batch/tables.py
+++ b/lockspoke/batch/tables.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lockspoke.boot_time import BootTime
+from lockspoke.boot_time import BootTime, MachineStart
 
 from .journal import Record, StoreError
 from .records import Batch, BatchStatus, File, LineRun, LineStatus, Upload, UploadStatus
@@ -57,6 +57,19 @@
         if record.get("key"):
             self.creations[record["key"]] = IdempotentCreation(record["print"], record["made"]["id"])
 
+    def follow_clock(self, clock: MachineStart) -> None:
+        """Move the times of unfinished batches and pending uploads to the clock of this process.
+
+        If the wall clock was set between two starts of the program, their spans stay as long as they were.
+        """
+        items: list[Batch | Upload] = [batch for batch in self.batches.values() if not batch.is_final]
+        items += [upload for upload in self.uploads.values() if upload.status is UploadStatus.PENDING]
+        for item in items:
+            if item.clock is not None:
+                step = round(clock.clock_step_since(item.clock))
+                item.created_at += step
+                item.expires_at += step
+
     def _add_file(self, _: int, record: Record) -> None:
         file = File(**record["made"])
         self.files[file.id] = file
@@ -65,7 +78,7 @@
         self.files.pop(record["id"], None)
 
     def _add_upload(self, _: int, record: Record) -> None:
-        upload = Upload(**record["made"])
+        upload = Upload(**record["made"], clock=_decode_clock(record))
         self.uploads[upload.id] = upload
 
     def _add_part(self, _: int, record: Record) -> None:
@@ -80,7 +93,7 @@
             upload.file_id = record["made"]["id"]
 
     def _add_batch(self, _: int, record: Record) -> None:
-        batch = Batch(**record["made"])
+        batch = Batch(**record["made"], clock=_decode_clock(record))
         self.batches[batch.id] = batch
 
     def _set_batch_status(self, _: int, record: Record) -> None:
@@ -135,6 +148,17 @@
     }
 
 
+def encode_clock(clock: MachineStart) -> Record:
+    """The fields of a journal record whose times later processes may have to move to their own clock."""
+    if not clock.boot_id:
+        return {}
+    return {"boot": clock.boot_id, "boot_at": round(clock.unix_time, 3)}
+
+
+def _decode_clock(record: Record) -> MachineStart | None:
+    return MachineStart(record["boot"], record["boot_at"]) if "boot" in record else None
+
+
 def _decode_run(record: Record) -> LineRun:
     sent_at = BootTime(record["boot"], record["at"])
     return LineRun(record["request"], sent_at, record["zone"], record["cell"])
--- a/lockspoke/boot_time.py
+++ b/lockspoke/boot_time.py
@@ -11,6 +11,8 @@
 from functools import cache
 from pathlib import Path
 
+from lockspoke.units import SECOND
+
 BOOT_ID_FILE = Path("/proc/sys/kernel/random/boot_id")
 
 
@@ -29,6 +31,28 @@
         return None if elapsed < 0 else elapsed
 
 
+@dataclass(frozen=True, slots=True)
+class MachineStart:
+    """The start of the machine, as one process's clock of the Unix time dates it."""
+
+    boot_id: str
+    unix_time: float  # seconds
+
+    def clock_step_since(self, earlier: MachineStart) -> float:
+        """Return by how many seconds this clock is ahead of an earlier process's; 0 if that is not known.
+
+        Both date the same start of the machine. If they differ, the wall clock was set in between.
+        """
+        if not self.boot_id or self.boot_id != earlier.boot_id:
+            return 0.0
+        return self.unix_time - earlier.unix_time
+
+
+def machine_start(boot_time: BootTime, unix_time: float) -> MachineStart:
+    """Return the start of the machine according to two clocks that were read at the same time."""
+    return MachineStart(boot_time.boot_id, unix_time - boot_time.nanoseconds / SECOND)
+
+
 UNKNOWN_BOOT_TIME = BootTime("", 0)
 
 
--- a/tests/batch/test_store.py
+++ b/tests/batch/test_store.py
@@ -1,4 +1,4 @@
-"""The batch store: uploads expire, and no line ends twice."""
+"""The batch store: uploads expire, no line ends twice, and spans outlast a step of the wall clock."""
 
 from __future__ import annotations
 
@@ -10,9 +10,12 @@
 
 from lockspoke.batch.journal import StoreError
 from lockspoke.batch.records import BatchStatus, LineStatus, UploadStatus
+from lockspoke.batch.store import BatchStore
+from lockspoke.boot_time import BootTime
+from lockspoke.units import SECOND
 from tests.standins import until
 
-from .harness import Harness, lines
+from .harness import ENDPOINT, Harness, lines
 
 
 def test_a_line_cannot_end_twice_in_the_store(tmp_path: Path) -> None:
@@ -50,3 +53,49 @@
         assert not list((tmp_path / "parts").iterdir())
 
     harness.run(scenario)
+
+
+HOUR = 3600
+CREATED_AT, BOOT_TIME = 1_000_000.0, BootTime("boot-1", 50 * SECOND)
+
+
+def create_batch_and_upload(folder: Path) -> None:
+    async def create() -> None:
+        await store.add_batch(
+            "",
+            "",
+            input_file_id="f",
+            endpoint=ENDPOINT,
+            completion_window="60s",
+            expires_at=int(store.now()) + 60,
+            metadata={},
+        )
+        await store.add_upload("", "", 60, filename="a", purpose="batch", bytes=3, mime_type="text/plain")
+
+    store = BatchStore(folder, lambda: CREATED_AT, BOOT_TIME)
+    asyncio.run(create())
+    store.close()
+
+
+@pytest.mark.parametrize("step", [-HOUR, -5, 0, 5, HOUR])
+def test_spans_keep_their_length_if_the_wall_clock_is_set_between_two_starts(
+    tmp_path: Path, step: int
+) -> None:
+    """Guards against: a batch that expired at once, or an hour late. A third process sees the same."""
+    create_batch_and_upload(tmp_path)
+    for _ in range(2):
+        later = BootTime("boot-1", BOOT_TIME.nanoseconds + 20 * SECOND)
+        now = CREATED_AT + 20 + step
+        store = BatchStore(tmp_path, lambda now=now: now, later)  # type: ignore[misc]
+        (batch,), (upload,) = store.batches.values(), store.uploads.values()
+        assert [batch.expires_at - now, now - batch.created_at] == [40, 20]
+        assert [upload.expires_at - now, now - upload.created_at] == [40, 20]
+        store.close()
+
+
+def test_after_a_start_of_the_machine_times_are_those_of_the_wall_clock(tmp_path: Path) -> None:
+    create_batch_and_upload(tmp_path)
+    store = BatchStore(tmp_path, lambda: CREATED_AT + HOUR, BootTime("boot-2", SECOND))
+    (batch,) = store.batches.values()
+    assert batch.expires_at == CREATED_AT + 60
+    store.close()
--- a/tests/batch/test_wall_clock.py
+++ b/tests/batch/test_wall_clock.py
@@ -38,3 +38,29 @@
             assert batch["request_counts"] == {"total": LINES, "completed": LINES, "failed": 0}
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("step", [-3600.0, 3600.0])
+def test_batches_keep_their_windows_when_the_wall_clock_is_set_between_two_starts(
+    step: float, tmp_path: Path
+) -> None:
+    """Guards against: after a kill and a step of an hour a batch expired at once, or an hour late."""
+    faults = FaultSettings(wall_step=step)  # From the start of the second process on.
+    options = ("--batch", batch_config(tmp_path, concurrency=1))
+
+    async def scenario() -> None:
+        async with FakeReplica(pause=PAUSE) as replica:
+            async with Program(replica, options=options) as program:
+                api = await connect(program)
+                short = await api.create_batch(input_file(LINES), "4s")
+                long = await api.create_batch(input_file(2), "60s")
+                program.process.kill()
+                await program.process.wait()
+            env = {SETTINGS_VARIABLE: faults.encode()}
+            async with Program(replica, module="bench.faults", env=env, options=options) as program:
+                api = await connect(program)
+                async with asyncio.timeout(LINES * PAUSE):  # An hour late would be too late.
+                    statuses = [(await api.wait_until_final(batch))["status"] for batch in (short, long)]
+                assert statuses == ["expired", "completed"]
+
+    asyncio.run(scenario())
