A repeat stays in the zone and cell of a replica that has left the list

Cause: such entries need not name a zone; 0 and the empty zone were taken for it, while the attempt's zone is its replica's of now. Zones that the settings do not name shared one number.

Change: entries that remove a replica or say only its state leave zone and cell; other zones have numbers of their own.

--- a/lockspoke/balancing/endpoint_list.py
+++ b/lockspoke/balancing/endpoint_list.py
@@ -49,8 +49,10 @@
             replica.restart(now, entry.started_at, self.settings)
         replica.state = entry.state
         replica.state_updated_at = now
-        replica.zone = entry.zone
-        replica.cell = entry.cell
+        if entry.state is not ReplicaState.REMOVED:
+            # A removal need not say where the replica was, which still matters for attempts that it may run.
+            replica.zone = entry.zone
+            replica.cell = entry.cell
         replica.declared_capacity = max(entry.weight, MIN_CAPACITY)
         replica.max_declared_capacity = max(replica.max_declared_capacity, replica.declared_capacity)
         replica.machine_statistics = self.machine_kinds.get_or_add(entry.machine_kind)
--- a/lockspoke/core/replica_set.py
+++ b/lockspoke/core/replica_set.py
@@ -101,6 +101,8 @@
     def __init__(self, identifiers: Identifiers, zones: Sequence[str]) -> None:
         self.identifiers = identifiers
         self.zones = _zone_indexes(zones)
+        # The place of each other zone among those that the settings do not name. No gateway is in these.
+        self._other_zones: dict[str, int] = {}
         self.replicas: dict[int, Replica] = {}  # by number
         self.version = UNKNOWN_VERSION
         # These two indexes of replica numbers are updated with each entry, so that a change of one replica
@@ -123,11 +125,11 @@
         return changed
 
     def zone_index(self, zone: str) -> int:
-        """Return the balancer's number of a zone.
-
-        All zones that the settings do not name share one number, which is no gateway's own zone.
-        """
-        return self.zones.get(zone, len(self.zones))
+        """Return the balancer's number of a zone; the zones that the settings name come first."""
+        index = self.zones.get(zone)
+        if index is None:
+            index = len(self.zones) + self._other_zones.setdefault(zone, len(self._other_zones))
+        return index
 
     @property
     def ready_count(self) -> int:
@@ -184,7 +186,8 @@
         stale = entry.state != ReplicaState.READY or entry.incarnation != replica.incarnation
         replica.endpoint = entry.endpoint or replica.endpoint
         replica.boot_ms = entry.boot_ms
-        replica.location = entry.location
+        if entry.endpoint is not None:  # Without it, the entry says nothing but the state.
+            replica.location = entry.location
         replica.started_at = started_at
         replica.state = entry.state
         return stale
@@ -232,8 +235,8 @@
             replica=replica.number,
             # The balancer sees a banned replica as draining: open attempts continue, no new ones are sent.
             state=ReplicaState.DRAINING if banned else entry.state,
-            zone=self.zone_index(entry.zone),
-            cell=entry.cell,
+            zone=self.zone_index(replica.location.zone),
+            cell=replica.location.cell,
             weight=entry.weight,
             started_at=replica.started_at,
             machine_kind=machine_kind_identifier(entry.machine_kind),
--- a/tests/core/test_replica_set.py
+++ b/tests/core/test_replica_set.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
-from lockspoke.balancing.events import ReplicaState
+from collections.abc import Sequence
+
+import pytest
+
+from lockspoke.balancing.events import Outcome, ReplicaState
+from lockspoke.balancing.settings import DeduplicationScope
 from lockspoke.core.identifiers import Identifiers
 from lockspoke.core.process_start import ClockReading
 from lockspoke.core.replica_set import EndpointListReplica, ReplicaListUpdate, ReplicaSet
 from lockspoke.units import MILLISECOND, SECOND
-from tests.core.harness import CoreHarness
+from tests.core.harness import CoreHarness, idempotent_with_key
 
 
 def test_removed_replicas_are_forgotten_unless_in_use() -> None:
@@ -88,3 +93,56 @@
         "w1": ReplicaState.READY,
     }
     assert {replica.uid for replica in harness.idle_closed} == {"w0", "w1"}  # w1 has a new address
+
+
+IN_ZONE = idempotent_with_key(DeduplicationScope.ZONE)
+
+
+def entry_in(
+    name: str, zone: str, port: int, state: ReplicaState = ReplicaState.READY, boot_ms: int = 0
+) -> EndpointListReplica:
+    return EndpointListReplica(name, state, ("127.0.0.1", port), zone, boot_ms=boot_ms)
+
+
+def harness_in_zones(zones: tuple[str, ...], listed: Sequence[EndpointListReplica]) -> CoreHarness:
+    """A core whose settings name these zones, with these replicas."""
+    harness = CoreHarness(replicas=0, classes=(IN_ZONE,))
+    harness.core.replica_set.set_zones(zones)
+    harness.core.endpoint_list_changed(ReplicaListUpdate(2, True, tuple(listed)))
+    return harness
+
+
+def zones_of_attempts(harness: CoreHarness) -> list[str]:
+    return [attempt.location.zone for attempt in harness.started]
+
+
+@pytest.mark.parametrize(
+    "update",
+    [
+        ReplicaListUpdate(3, False, (EndpointListReplica("b1", ReplicaState.REMOVED, None),)),
+        ReplicaListUpdate(3, False, (EndpointListReplica("b1", ReplicaState.DRAINING, None),)),
+        ReplicaListUpdate(3, False, (entry_in("b3", "b", 5001, boot_ms=10**6),)),
+        ReplicaListUpdate(3, True, (entry_in("a1", "a", 5000), entry_in("b2", "b", 5002))),
+    ],
+    ids=["removed without a zone", "draining without a zone", "superseded", "not listed"],
+)
+def test_a_repeat_stays_in_the_zone_of_a_replica_that_has_left(update: ReplicaListUpdate) -> None:
+    """Guards against: with the replica its zone was forgotten, and a repeat went to the first zone."""
+    listed = [entry_in("b1", "b", 5001)]
+    harness = harness_in_zones(("a", "b"), listed)
+    harness.submit()
+    more = (entry_in("a1", "a", 5000), entry_in("b2", "b", 5002))
+    harness.core.endpoint_list_changed(ReplicaListUpdate(2, False, more))
+    harness.core.endpoint_list_changed(update)
+    harness.started[0].end(Outcome.RESET)
+    assert zones_of_attempts(harness) == ["b", "b"]
+
+
+def test_two_zones_that_the_settings_do_not_name_are_not_one() -> None:
+    """Guards against: a repeat went to another zone if the settings named neither of the two."""
+    harness = harness_in_zones(("a",), [entry_in("x1", "x", 5001)])
+    _, response = harness.submit()
+    harness.core.endpoint_list_changed(ReplicaListUpdate(3, False, (entry_in("y1", "y", 5002),)))
+    harness.started[0].end(Outcome.RESET)
+    assert zones_of_attempts(harness) == ["x"]
+    assert response.written == ["failed"]
