A lower limit of lines does not fail a batch that was accepted before

Cause: the input file is indexed again at each start, with the limit of today.

Change: a batch is stored with the limit of its creation; once it is validated, its own number of lines is the limit.

--- a/lockspoke/batch/lines.py
+++ b/lockspoke/batch/lines.py
@@ -39,7 +39,7 @@
             class_name: The name of the request class, which replicas receive in `Req-Kind`.
             request_class: The index of the request class in the gateway's configuration.
             first_token_timeout: Nanoseconds that a request of this class may wait for its first token.
-            max_lines: The maximum number of lines in an input file.
+            max_lines: The maximum number of lines in an input file, for batches that do not say it.
         """
         self.store = store
         self.class_name = class_name
@@ -48,6 +48,12 @@
         self.max_lines = max_lines
         self._lost_input_log = RateLimitedLog("batch_input_lost")
 
+    def _line_limit(self, batch: Batch) -> int:
+        """The maximum number of lines in the batch's input file; a later setting does not concern it."""
+        if batch.total:
+            return batch.total
+        return self.max_lines if batch.max_lines is None else batch.max_lines
+
     def index(self, batch: Batch) -> InputIndex:
         """Validate the batch's input file.
 
@@ -59,7 +65,7 @@
         except FileNotFoundError:
             raise file_error("file_not_found", "The input file is gone.") from None
         with file:
-            return index_input_file(file, batch.endpoint, self.max_lines)
+            return index_input_file(file, batch.endpoint, self._line_limit(batch))
 
     def read(self, batch: Batch, offset: int) -> InputLine:
         """The line at an offset of the batch's input file."""
--- a/lockspoke/batch/records.py
+++ b/lockspoke/batch/records.py
@@ -102,6 +102,7 @@
     expires_at: int
     metadata: dict[str, str]
     clock: MachineStart | None = None  # Of the process that created it.
+    max_lines: int | None = None  # The limit on its lines, in force at its creation; None if it is not known.
     status: BatchStatus = BatchStatus.VALIDATING
     entered_at: dict[BatchStatus, int] = field(
         default_factory=dict
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -41,6 +41,7 @@
             StoreError: The store is damaged or another program uses it.
         """
         self.now = now
+        self.max_lines: int | None = None  # The limit on the lines of new batches, which is stored with them.
         self._clock = machine_start(boot_time, now())
         self.executor = ThreadPoolExecutor(1, "store")
         self.contents = ContentFolder(folder, self.executor)
@@ -192,7 +193,9 @@
     async def add_batch(self, key: str, fingerprint: str, **fields: Any) -> Batch:
         """Create a batch; `fields` are further fields of `Batch`."""
         batch_record = {"id": f"batch_{secrets.token_hex(12)}", "created_at": int(self.now()), **fields}
-        record = {"op": "batch", "made": batch_record, "key": key, "print": fingerprint}
+        record: Record = {"op": "batch", "made": batch_record, "key": key, "print": fingerprint}
+        if self.max_lines is not None:
+            record["max_lines"] = self.max_lines
         await self._write(record | encode_clock(self._clock))
         return self.batches[batch_record["id"]]
 
--- a/lockspoke/batch/subsystem.py
+++ b/lockspoke/batch/subsystem.py
@@ -74,6 +74,7 @@
             self.store = BatchStore(Path(settings.store), steady_unix_time, read_boot_time())
         except (StoreError, OSError) as error:
             raise ConfigError(f"batch.store: {error}") from None
+        self.store.max_lines = settings.max_lines
         first_token_timeout = self.gateway.deadlines[self.request_class]
         self.lines = BatchLines(
             self.store, settings.kind, self.request_class, first_token_timeout, settings.max_lines
@@ -103,7 +104,7 @@
             self.lines.class_name = settings.kind
             self.lines.request_class = request_class
             self.lines.first_token_timeout = gateway.deadlines[request_class]
-            self.lines.max_lines = settings.max_lines
+            self.lines.max_lines = self.store.max_lines = settings.max_lines
             self.runner.reconfigure(settings.concurrency, settings.tries)
             self.front.limits.file_size = settings.file_limit
 
--- a/lockspoke/batch/tables.py
+++ b/lockspoke/batch/tables.py
@@ -93,7 +93,7 @@
             upload.file_id = record["made"]["id"]
 
     def _add_batch(self, _: int, record: Record) -> None:
-        batch = Batch(**record["made"], clock=_decode_clock(record))
+        batch = Batch(**record["made"], clock=_decode_clock(record), max_lines=record.get("max_lines"))
         self.batches[batch.id] = batch
 
     def _set_batch_status(self, _: int, record: Record) -> None:
--- a/tests/batch/test_store.py
+++ b/tests/batch/test_store.py
@@ -99,3 +99,38 @@
     (batch,) = store.batches.values()
     assert batch.expires_at == CREATED_AT + 60
     store.close()
+
+
+@pytest.mark.parametrize("is_validated", [True, False])
+def test_a_lower_limit_of_lines_does_not_concern_a_batch_that_was_accepted(
+    tmp_path: Path, is_validated: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against: `review/8`, a batch in progress failed at a restart after `max_lines` was lowered."""
+    first = Harness(tmp_path)
+    first.store.max_lines = 100
+    first.runner.slots.stopping = True  # No line starts.
+
+    async def create() -> None:
+        if not is_validated:
+            monkeypatch.setattr(first.runner, "start_batch", lambda _: None)
+        batch = await first.create_batch(*lines(40))
+        await until(lambda: batch.status is BatchStatus.IN_PROGRESS or not is_validated)
+
+    first.run(create)
+    second = Harness(tmp_path)
+    second.store.max_lines = second.runner.lines.max_lines = 20
+    (batch,) = second.store.batches.values()
+
+    async def finish() -> None:
+        def is_final() -> bool:
+            for attempt in second.in_flight():
+                second.serve(attempt)
+            return batch.is_final
+
+        await until(is_final)
+        late = await second.create_batch(*lines(40))
+        await until(lambda: late.is_final)
+        assert [error["code"] for error in late.errors] == ["too_many_lines"]
+
+    second.run(finish)
+    assert second.results(batch) == {f"c{number}": "served" for number in range(40)}
