Numbers that are not finite are refused in lines and responses of batches

Cause: Python's JSON decoder and encoder accept them.

Change: parse_json refuses them; the line is an invalid_json_line, the response a failed attempt.

--- a/lockspoke/batch/chat_completion.py
+++ b/lockspoke/batch/chat_completion.py
@@ -8,6 +8,8 @@
 
 from lockspoke.wire.http.sse import LINE_LIMIT_BYTES
 
+from .json_text import parse_json
+
 CHARACTERS_PER_TOKEN = 4  # the platform's estimate
 MAX_TOKENS_LIMIT = 1e9  # A larger `max_tokens` is treated as no limit.
 RESPONSE_LIMIT = 1024 * 1024  # the maximum size of one stream in bytes
@@ -72,7 +74,7 @@
             self._done = True
             return
         try:
-            event = json.loads(data)
+            event = parse_json(data)
             if "error" in event:
                 self._malformed = True
                 return
@@ -81,7 +83,7 @@
                 self._process_choice(choice)
             if isinstance(event.get("usage"), dict):
                 self._usage = event["usage"]
-        except (ValueError, TypeError, AttributeError, RecursionError):
+        except (ValueError, TypeError, AttributeError, OverflowError, RecursionError):
             self._malformed = True  # The event may have contained a part of the response.
 
     def _process_choice(self, choice: dict[str, Any]) -> None:
--- a/lockspoke/batch/input_lines.py
+++ b/lockspoke/batch/input_lines.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from array import array
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -11,6 +10,8 @@
 
 from lockspoke.wire.http.parser import BODY_LIMIT_BYTES
 
+from .json_text import parse_json
+
 MAX_ID_LENGTH = 512  # characters of a `custom_id`, and of other required string members
 MAX_REPORTED_ERRORS = 100  # Validation stops after this many invalid lines.
 # Bytes read at a time. A longer line is read in pieces and reported as too large, because its first piece
@@ -75,7 +76,7 @@
 
 def _decode_object(raw: bytes) -> dict[str, Any]:
     try:
-        line = json.loads(raw)
+        line = parse_json(raw)
     except (ValueError, RecursionError):
         raise LineError("invalid_json_line", "This line is not parseable as valid JSON.") from None
     if not isinstance(line, dict):
--- a/lockspoke/batch/validation.py
+++ b/lockspoke/batch/validation.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import json
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -13,6 +12,7 @@
 
 from .errors import ApiError
 from .input_lines import MAX_ID_LENGTH
+from .json_text import parse_json
 
 ENDPOINT = "/v1/chat/completions"  # The only endpoint that batches may use.
 PURPOSE = "batch"  # The only purpose that clients may give to files.
@@ -28,7 +28,7 @@
 def decode_json(body: bytes) -> dict[str, Any]:
     """Decode the JSON object in a request body; an empty body is decoded as an empty object."""
     try:
-        members = json.loads(body or b"{}")
+        members = parse_json(body or b"{}")
     except (ValueError, RecursionError):
         raise ApiError(400, "We could not parse the JSON body of your request.") from None
     if not isinstance(members, dict):
