The gateway starts while the batch store's disk fails

Cause: opening the store synced its folder, cut off a torn tail and deleted unreferenced files, and an error of any ended the start.

Change: what could not be synced or cut off is done before the next write, which is retried; deletions wait for a later start.

--- a/lockspoke/batch/contents.py
+++ b/lockspoke/batch/contents.py
@@ -11,6 +11,7 @@
 import secrets
 from collections.abc import Collection, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import BinaryIO
@@ -40,14 +41,15 @@
             path.mkdir(parents=True, exist_ok=True)
 
     def remove_unreferenced(self, file_ids: Collection[str], part_ids: Collection[str]) -> None:
-        """Delete files that no record refers to: they were being written when the program ended."""
-        for path in self.scratch_folder.iterdir():
-            path.unlink()
-        for path in self.files_folder.iterdir():
-            if path.name not in file_ids:
-                path.unlink()
-        for path in self.parts_folder.iterdir():
-            if path.name not in part_ids:
+        """Delete files that no record refers to: they were being written when the program ended.
+
+        What cannot be deleted now is deleted at a later start.
+        """
+        unreferenced = list(self.scratch_folder.iterdir())
+        unreferenced += [path for path in self.files_folder.iterdir() if path.name not in file_ids]
+        unreferenced += [path for path in self.parts_folder.iterdir() if path.name not in part_ids]
+        for path in unreferenced:
+            with suppress(OSError):
                 path.unlink()
 
     def open_scratch(self) -> tuple[Path, BinaryIO]:
--- a/lockspoke/batch/journal.py
+++ b/lockspoke/batch/journal.py
@@ -90,7 +90,8 @@
         except OSError:
             os.close(self._descriptor)
             raise StoreError(f"{path}: another program uses this store") from None
-        sync_folder(path.parent)
+        # Whether the folder's entry of the file is on disk, as far as this process knows.
+        self._is_entry_synced = False
 
     def load(self) -> Iterator[tuple[int, Record]]:
         """Yield each record with its offset, then truncate a partial record that a crash left at the end.
@@ -116,8 +117,13 @@
     def _truncate_tail(self, intact_size: int) -> None:
         lost = self.path.stat().st_size - intact_size
         log.warning("journal_tail_truncated", offset=intact_size, lost_bytes=lost)
-        os.ftruncate(self._descriptor, intact_size)
-        os.fsync(self._descriptor)
+        try:
+            os.ftruncate(self._descriptor, intact_size)
+            os.fsync(self._descriptor)
+        except OSError as error:
+            # The program starts even while its disk fails: nothing is written before the tail is cut off.
+            log.error("store_unavailable", error=str(error))
+            self._has_partial_write = True
 
     def read(self, offset: int) -> Record:
         """The record at an offset.
@@ -179,6 +185,9 @@
     def _write(self, data: bytes, offset: int) -> None:
         if self._has_partial_write:
             self._truncate_partial_write(offset)
+        if not self._is_entry_synced:
+            sync_folder(self.path.parent)
+            self._is_entry_synced = True
         try:
             remaining = memoryview(data)
             while remaining:
--- a/tests/batch/test_journal.py
+++ b/tests/batch/test_journal.py
@@ -160,3 +160,31 @@
         asyncio.run(scenario())
     monkeypatch.undo()
     assert [record["n"] for _, record in open_journal(tmp_path / "journal").load()] == [1]
+
+
+def test_a_journal_is_opened_while_its_disk_fails(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against: the whole gateway did not start, since a torn tail could not be cut off just then."""
+    path = tmp_path / "journal"
+
+    async def append(journal: Journal, number: int) -> None:
+        await journal.append({"n": number})
+
+    first = open_journal(path)
+    asyncio.run(append(first, 1))
+    first.close()
+    with path.open("ab") as file:
+        file.write(b"0123abcd {torn")
+
+    def fail(*_: object) -> None:
+        raise OSError(errno.EIO, "injected")
+
+    with monkeypatch.context() as patch:
+        patch.setattr("lockspoke.batch.journal.os.ftruncate", fail)
+        patch.setattr("lockspoke.batch.journal.os.fsync", fail)
+        journal = open_journal(path)
+        assert [record["n"] for _, record in journal.load()] == [1]
+        with pytest.raises(StoreError):
+            asyncio.run(append(journal, 2))
+    asyncio.run(append(journal, 3))
+    journal.close()
+    assert [record["n"] for _, record in open_journal(path).load()] == [1, 3]
