The class in force decides on a repeat, for attempts under an earlier class too

Cause: attempts were collected and recorded only while the class restricted repeats.

Change: a line keeps its possible runs whatever its class; a batch that began with records keeps recording until its end or the next start.

Tests: tests/batch/test_restarts.py, two cases failed on, all pass; tests/core.

--- a/lockspoke/batch/line_runs.py
+++ b/lockspoke/batch/line_runs.py
@@ -7,11 +7,10 @@
 from collections.abc import Callable
 from functools import partial
 
-from lockspoke.balancing.repeat_rules import restricts_repeats
 from lockspoke.boot_time import BootTime
 from lockspoke.core.core import Core
 from lockspoke.core.replica_set import ReplicaLocation
-from lockspoke.core.requests import Attempt, ClientRequest, PossibleRun, SendNotRecordedError
+from lockspoke.core.requests import Attempt, ClientRequest, PossibleRun, SendNotRecordedError, SendRecorder
 
 from .journal import StoreError
 from .records import Batch, LineRun
@@ -26,7 +25,7 @@
     """Collects the attempts of a line that may have run, across its requests and across processes.
 
     It is the `SendRecorder` of the line's requests: each attempt is stored before its first byte is sent.
-    Nothing is collected for a class that may run any number of times.
+    While the class may run any number of times, this holds only for batches that another one has begun.
     """
 
     def __init__(
@@ -42,6 +41,7 @@
             boot_time: Reads the clock that processes share.
         """
         self._store = store
+        self._core = core
         self._batch = batch
         self._line = line
         self._boot_time = boot_time
@@ -53,9 +53,16 @@
         self._numbers: dict[Attempt, int] = {}  # Of the attempts of the current request.
         self._pending_writes: list[asyncio.Task[None]] = []
 
-    def next_request_id(self) -> str:
+    def next_request_id(self, request_class: int) -> str:
         """The ID of the line's next request; replicas recognize a repetition by its ID."""
-        return self._request_id if self.possible_runs else secrets.token_hex(8)
+        if self.possible_runs and self._core.restricts_repeats(request_class):
+            return self._request_id
+        return secrets.token_hex(8)
+
+    def recorder(self, request_class: int) -> SendRecorder | None:
+        """The recorder of the line's next request; None if its attempts are not recorded."""
+        is_recorded = self._batch.attempts_recorded or self._core.restricts_repeats(request_class)
+        return self if is_recorded else None
 
     async def record_send(self, attempt: Attempt) -> None:
         """Store an attempt that is about to be sent.
@@ -79,9 +86,8 @@
 
     async def add(self, request: ClientRequest) -> None:
         """Add the attempts of a request that has been answered; returns once all records are written."""
-        if restricts_repeats(request.class_settings):
-            self.possible_runs = request.possible_runs
-            self._request_id = request.request_id
+        self.possible_runs = request.possible_runs
+        self._request_id = request.request_id
         writes, self._pending_writes = self._pending_writes, []
         await asyncio.gather(*writes)
 
--- a/lockspoke/batch/lines.py
+++ b/lockspoke/batch/lines.py
@@ -113,7 +113,7 @@
             response=response,
             request_class=self.request_class,
             time_remaining=max(1, min(self.first_token_timeout, int(remaining_seconds * SECOND))),
-            request_id=runs.next_request_id(),
+            request_id=runs.next_request_id(self.request_class),
             method="POST",
             target=batch.endpoint,
             headers={
@@ -129,7 +129,7 @@
             max_tokens=prompt.max_tokens,
             background=True,
             earlier_runs=runs.possible_runs,
-            send_recorder=runs,
+            send_recorder=runs.recorder(self.request_class),
         )
 
     def new_result(
--- a/lockspoke/batch/resumption.py
+++ b/lockspoke/batch/resumption.py
@@ -1,7 +1,7 @@
 """Resuming a batch: what an earlier process may have sent of it without leaving a record.
 
-Attempts are recorded while the class of lines restricts repeats (see `line_runs`). A batch that ran while it
-did not, or under an older version of the program, has open lines that may have run and of which nothing is
+Attempts are recorded while the class of lines restricts repeats (see `line_runs`). A batch that began while
+it did not, or under an older version of the program, has open lines that may have run and of which nothing is
 known. They are found by their place: lines are started in their order, and only so many may be open at once.
 """
 
--- a/lockspoke/core/requests.py
+++ b/lockspoke/core/requests.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from lockspoke.balancing.events import NEVER_RAN, Outcome
-from lockspoke.balancing.repeat_rules import may_be_rejected, restricts_repeats
+from lockspoke.balancing.repeat_rules import may_be_rejected
 from lockspoke.balancing.settings import RequestClass
 
 from .interfaces import ResponseWriter, TimerHandle
@@ -68,7 +68,7 @@
     background: bool = False  # batch work; any other request is interactive and takes precedence
     # Attempts of the same request that were submitted before, perhaps to an earlier process.
     earlier_runs: tuple[PossibleRun, ...] = ()
-    # Set if an attempt must be recorded before it is sent, unless the class may run any number of times.
+    # Set if each attempt must be recorded before it is sent.
     send_recorder: SendRecorder | None = None
     # Set by the core:
     number: int = 0
@@ -191,9 +191,7 @@
     @property
     def must_be_recorded(self) -> bool:
         """Whether it must be recorded before it may be sent."""
-        if self.recorded or self.request.send_recorder is None:
-            return False
-        return restricts_repeats(self.request.class_settings)
+        return self.request.send_recorder is not None and not self.recorded
 
     def permission_to_send(self) -> SendPermission:
         """Return whether the first byte may be sent now; to be called when the connection is established."""
--- a/tests/batch/test_restarts.py
+++ b/tests/batch/test_restarts.py
@@ -18,6 +18,7 @@
 import os
 import shutil
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -474,3 +475,50 @@
     second.run(serve_all(second))
     assert second.results(only_batch(second)) == {"c0": "served", "c1": "served"}
     assert not only_batch(second).attempts_recorded
+
+
+def change_class(harness: Harness, request_class: RequestClass) -> None:
+    """Reload the settings with another class of lines."""
+    core = harness.core_harness.core
+    core.reconfigure(replace(core.balancer.settings, classes=(request_class,)), ["z"])
+
+
+def test_a_line_that_ran_while_its_class_was_free_is_not_repeated_once_it_may_run_once(
+    tmp_path: Path,
+) -> None:
+    """Guards against: the class in force decides, and attempts under another one were forgotten."""
+    harness = Harness(tmp_path, max_attempts=9, classes=(REPEATABLE,))
+
+    async def scenario() -> None:
+        batch = await harness.create_batch(*lines(1))
+        await until(lambda: len(harness.in_flight()) == 1)
+        harness.in_flight()[0].stream_received(EVENTS[0])
+        harness.in_flight()[0].end(Outcome.RESET)
+        await until(lambda: harness.runner.slots.backing_off == 1)
+        change_class(harness, ONCE)
+        harness.clock += 2
+        await until(lambda: batch.is_final)
+        assert harness.results(batch) == {"c0": "upstream_failed"}
+
+    harness.run(scenario)
+    assert len(harness.core_harness.started) == 1
+
+
+def test_a_batch_that_began_with_records_keeps_them_while_its_class_is_free(tmp_path: Path) -> None:
+    first = Harness(tmp_path / "store", concurrency=1, classes=(ONCE,))
+    killed: list[Path] = []
+
+    async def scenario() -> None:
+        await first.create_batch(*lines(2))
+        await until(lambda: len(first.in_flight()) == 1)
+        change_class(first, REPEATABLE)
+        first.serve(first.in_flight()[0])
+        await until(lambda: len(first.core_harness.started) == 2 and len(first.in_flight()) == 1)
+        killed.append(copy_at_kill(first, tmp_path))
+        first.serve(first.in_flight()[0])
+        await until(lambda: only_batch(first).is_final)
+
+    first.run(scenario)
+    second = restart(killed[0], first, SECOND, ONCE)
+    second.run(serve_all(second))
+    assert second.results(only_batch(second)) == {"c0": "served", "c1": "upstream_failed"}
--- a/tests/core/test_send_permission.py
+++ b/tests/core/test_send_permission.py
@@ -148,14 +148,13 @@
     asyncio.run(scenario())
 
 
-def test_a_class_that_may_run_any_number_of_times_is_not_recorded() -> None:
-    async def scenario() -> None:
-        harness, recorder = CoreHarness(), FakeRecorder()
-        harness.submit(send_recorder=recorder)
-        harness.started[0].end(Outcome.OVERLOADED)
-        assert recorder.log == []
-
-    asyncio.run(scenario())
+def test_a_request_without_a_recorder_is_sent_at_once() -> None:
+    harness = CoreHarness(classes=(ONCE,))
+    harness.connects_at_once = False
+    harness.submit()
+    assert harness.started[0].permission_to_send() is SendPermission.GRANTED
+    harness.started[0].end(Outcome.OVERLOADED)
+    assert not harness.started[0].record_requested
 
 
 @pytest.mark.parametrize("change", [client_disconnects, replica_drains, replica_restarts, replica_is_banned])
