A lower size limit does not concern accepted uploads and repeated creations

Cause: the limit of today was applied to each body, and before the key was looked up.

Change: it holds for new files and uploads; the key is looked up first, and connections take what was accepted before.

--- a/lockspoke/batch/connection.py
+++ b/lockspoke/batch/connection.py
@@ -47,7 +47,7 @@
         self.has_received = True
         self.close_reason: CloseReason | None = None
         self._between_requests = True
-        self._parser = RequestParser(application.limits.file_size + FORM_OVERHEAD)
+        self._parser = RequestParser(application.limits.body_size + FORM_OVERHEAD)
         self._pieces: list[MessagePart] = []
 
     @property
--- a/lockspoke/batch/file_handlers.py
+++ b/lockspoke/batch/file_handlers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from .errors import ApiError
-from .idempotency import fingerprint, idempotency_key
+from .idempotency import created_object_id, fingerprint, idempotency_key
 from .limits import FrontLimits
 from .messages import ApiRequest, FileResponse, JsonResponse, replayed
 from .objects import deleted_file_object, file_object
@@ -34,7 +34,8 @@
 
     async def create(self, request: ApiRequest) -> JsonResponse:
         """`POST /v1/files`."""
-        async with received_form(self.store, request, "file", self.limits.file_size) as form:
+        limit = max(self.limits.file_size, self._size_of_earlier_creation(request))
+        async with received_form(self.store, request, "file", limit) as form:
             purpose = purpose_member(form.fields)
             filename = form.filename or DEFAULT_FILENAME
             async with self.store.creation_lock:
@@ -46,6 +47,11 @@
                 )
                 return JsonResponse(file_object(file))
 
+    def _size_of_earlier_creation(self, request: ApiRequest) -> int:
+        """The size of the file that an earlier request with the same idempotency key has created; else 0."""
+        file = self.store.files.get(created_object_id(self.store, request))
+        return 0 if file is None else file.bytes
+
     async def list(self, request: ApiRequest) -> JsonResponse:
         """`GET /v1/files`."""
         purpose = request.query("purpose")
--- a/lockspoke/batch/front.py
+++ b/lockspoke/batch/front.py
@@ -39,7 +39,8 @@
             file_limit: The maximum size of a file in bytes.
             token: The bearer token that clients must send; empty if none is required.
         """
-        self.limits = FrontLimits(file_limit)
+        largest_accepted = max((file.bytes for file in store.files.values()), default=0)
+        self.limits = FrontLimits(file_limit, largest_accepted)
         self.application = BatchApplication(store, runner, self.limits, token)
         self.listener = Listener(self._connect, max_connections)
 
--- a/lockspoke/batch/idempotency.py
+++ b/lockspoke/batch/idempotency.py
@@ -30,6 +30,16 @@
     existing_id: str  # The ID of what an earlier request with this key created; empty if there was none.
 
 
+def created_object_id(store: BatchStore, request: ApiRequest) -> str:
+    """The ID of what an earlier request with the same key has created, whatever it held; empty if nothing."""
+    creation = store.creations.get(_stored_key(request))
+    return "" if creation is None else creation.object_id
+
+
+def _stored_key(request: ApiRequest) -> str:
+    return f"{request.head.path} {request.head.headers.get('idempotency-key')}"
+
+
 def idempotency_key(store: BatchStore, request: ApiRequest, request_fingerprint: str) -> IdempotencyKey:
     """Look up the key of a request; call it with the store's `creation_lock` held.
 
@@ -41,7 +51,7 @@
         return IdempotencyKey("", request_fingerprint, "")
     if len(header) > MAX_KEY_LENGTH:
         raise ApiError(400, "The Idempotency-Key is too long.", code="invalid_idempotency_key")
-    key = f"{request.head.path} {header}"
+    key = _stored_key(request)
     creation = store.creations.get(key)
     if creation is None:
         return IdempotencyKey(key, request_fingerprint, "")
--- a/lockspoke/batch/subsystem.py
+++ b/lockspoke/batch/subsystem.py
@@ -106,7 +106,7 @@
             self.lines.first_token_timeout = gateway.deadlines[request_class]
             self.lines.max_lines = self.store.max_lines = settings.max_lines
             self.runner.reconfigure(settings.concurrency, settings.tries)
-            self.front.limits.file_size = settings.file_limit
+            self.front.limits.set_file_size(settings.file_limit)
 
         return commit
 
--- a/lockspoke/batch/upload_handlers.py
+++ b/lockspoke/batch/upload_handlers.py
@@ -6,7 +6,7 @@
 
 from .errors import ApiError
 from .idempotency import fingerprint, idempotency_key
-from .limits import FrontLimits
+from .limits import PART_LIMIT, FrontLimits
 from .messages import ApiRequest, JsonResponse, replayed
 from .objects import part_object, upload_object
 from .received_form import received_form
@@ -14,7 +14,6 @@
 from .store import BatchStore
 from .validation import purpose_member, size_member, text_member
 
-PART_LIMIT = 64 * 1024 * 1024  # the maximum size of a part in bytes
 UPLOAD_LIFETIME = 3600  # seconds until a pending upload expires
 
 
@@ -29,9 +28,6 @@
         """`POST /v1/uploads`."""
         body = await request.read_json()
         size = size_member(body.members, "bytes")
-        limit = self.limits.file_size
-        if size > limit:
-            raise ApiError(413, f"The file is larger than {limit} bytes.", "bytes", "file_too_large")
         fields = {
             "filename": text_member(body.members, "filename"),
             "purpose": purpose_member(body.members),
@@ -42,6 +38,9 @@
             key = idempotency_key(self.store, request, fingerprint(body.raw))
             if key.existing_id:
                 return replayed(self._upload_object(self._find(key.existing_id)))
+            limit = self.limits.file_size
+            if size > limit:
+                raise ApiError(413, f"The file is larger than {limit} bytes.", "bytes", "file_too_large")
             upload = await self.store.add_upload(key.key, key.fingerprint, UPLOAD_LIFETIME, **fields)
             return JsonResponse(self._upload_object(upload))
 
--- a/tests/batch/test_program.py
+++ b/tests/batch/test_program.py
@@ -11,6 +11,7 @@
 
 from lockspoke.lifecycle.config import ConfigError
 from lockspoke.lifecycle.edge_file import read_batch_file
+from lockspoke.units import MEBIBYTE
 from tests.standins import (
     EVENTS,
     ROOT,
@@ -196,3 +197,45 @@
             assert program.log("batch_listening") is None
 
     asyncio.run(scenario())
+
+
+def test_a_lower_limit_of_sizes_does_not_concern_what_was_accepted(tmp_path: Path) -> None:
+    """Guards against: an upload could not be completed, and a creation that was repeated got 413."""
+    options = ("--batch", batch_config(tmp_path, max_file_mb=3))
+    data = b"x" * (2 * MEBIBYTE)
+    members = {"filename": "u", "purpose": "batch", "bytes": 3 * MEBIBYTE, "mime_type": "application/jsonl"}
+
+    async def scenario() -> None:
+        async with FakeReplica() as replica:
+            async with Program(replica, options=options) as program:
+                api = await connect(program)
+                file = await api.send_form("/v1/files", "file", data, Idempotency_Key="f")
+                upload = (await api.request("POST", "/v1/uploads", members, Idempotency_Key="u"))[0]
+                batch_config(tmp_path, max_file_mb=1)
+                program.reload()
+                await until(lambda: program.log("reloaded") is not None)
+                await check_accepted(program, file, upload, ["p1"])
+                program.process.kill()
+                await program.process.wait()
+            async with Program(replica, options=options) as program:
+                await check_accepted(program, file, upload, ["p1", "p2"])
+
+    async def check_accepted(program: Program, file: Any, upload: Any, keys: list[str]) -> None:
+        api = await connect(program)
+        await api.send_form("/v1/files", "file", data, 413)
+        api = await connect(program)
+        assert file == await api.send_form("/v1/files", "file", data, Idempotency_Key="f")
+        repeated = (await api.request("POST", "/v1/uploads", members, Idempotency_Key="u"))[0]
+        assert repeated["id"] == upload["id"]
+        await api.request("POST", "/v1/uploads", members, expect=413)
+        parts = [data, b"x" * MEBIBYTE]
+        for key, part in zip(keys, parts, strict=False):
+            path = f"/v1/uploads/{upload['id']}/parts"
+            part_ids.setdefault(key, (await api.send_form(path, "data", part, Idempotency_Key=key))["id"])
+        if len(keys) == len(parts):
+            path = f"/v1/uploads/{upload['id']}/complete"
+            completed = (await api.request("POST", path, {"part_ids": [part_ids[key] for key in keys]}))[0]
+            assert completed["file"]["bytes"] == members["bytes"]
+
+    part_ids: dict[str, str] = {}
+    asyncio.run(scenario())
