The test of idle connections gives batch connections the real limits

Cause: gave the front's limits a second property, body_size, which the test's own stand-in of them lacked.

Change: the test uses FrontLimits itself; what it checks is unchanged.

--- a/tests/wire/tcp/test_listener.py
+++ b/tests/wire/tcp/test_listener.py
@@ -12,6 +12,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from lockspoke.batch.connection import BatchConnection
+from lockspoke.batch.limits import FrontLimits
 from lockspoke.wire.clients.connection import ClientConnection
 from lockspoke.wire.operators.front import OperatorConnection
 from lockspoke.wire.tcp.accepted_connection import close_if_no_input
@@ -29,11 +30,8 @@
 
 
 def batch_connection(stream: IOStream) -> BatchConnection:
-    class Limits:
-        file_size = 1000
-
     class Application:
-        limits = Limits()
+        limits = FrontLimits(file_size=1000)
 
     return BatchConnection(cast(Any, Application()), stream)
 
