Result files of batches have a module of their own; retries of the benches stand once

Cause: BatchStore held the writing of result files, with an encoder passed in; both soaks of batches had the same retry, and two tests of restarts the same checks and nearly the same cases.

Change: batch/result_files.py writes them; tests/batch/api_client.py has retry_while_unavailable, which the soak without faults still doesn't use; the tests of a planned stop and of a kill share one table of cases: the stop gains one (scope cell), the kill two (scope zone).

--- a/bench/batch_soak.py
+++ b/bench/batch_soak.py
@@ -27,7 +27,7 @@
 from typing import Any, TypeVar
 
 from bench.faults.settings import SETTINGS_VARIABLE, FaultSettings
-from tests.batch.api_client import Api, batch_config, connect, input_file
+from tests.batch.api_client import Api, batch_config, call_once, connect, input_file, retry_while_unavailable
 from tests.batch.gateway_probes import GatewayProbes, Measurements, TimestampReplica
 from tests.standins import Program
 
@@ -36,7 +36,6 @@
 DISK_PHASE = 0.5  # part of its period after which the disk fails, so that processes start without failures
 DISK_SHARES = (0.1, 0.3, 1.0)  # shares of the calls that fail while the disk fails
 WALL_STEPS = (-3600.0, -5.0, 5.0, 3600.0)  # seconds by which the wall clock is set
-RETRY_INTERVAL = 0.1  # seconds after an operation that failed because the store could not write
 MAX_RUNS = 5  # of a seed whose runs are inconclusive
 DEFAULT_LINES = 10_000  # in each batch
 MAX_CANCEL_DELAY = 2.0  # seconds after the last creation, or the restart, until the last cancellation
@@ -47,7 +46,6 @@
 DECODE_CHUNK_LINES = 200  # lines of a result file that are decoded without a break
 FINISH_TIMEOUT = 120.0  # seconds for all batches to end after the restart
 
-
 ResultT = TypeVar("ResultT")
 
 
@@ -160,27 +158,15 @@
             *replicas, options=self._gateway_options, operator=True, module="bench.faults", env=env
         )
 
-    async def _retry_while_unavailable(
-        self, program: Program, operation: Callable[[Api], Awaitable[ResultT]]
-    ) -> ResultT:
-        """Repeat an operation while it answers 503 because of a disk fault; it has then changed nothing."""
-        while True:
-            api = await connect(program)
-            try:
-                return await operation(api)
-            except AssertionError as error:
-                if self._faults is None or "(503," not in str(error):
-                    raise
-            finally:
-                await api.client.__aexit__()
-            await asyncio.sleep(RETRY_INTERVAL)
+    async def _call(self, program: Program, operation: Callable[[Api], Awaitable[ResultT]]) -> ResultT:
+        """Run an operation; it may fail for a while only if the disk does."""
+        run = call_once if self._faults is None else retry_while_unavailable
+        return await run(program, operation)
 
     async def _run_until_restart(self, program: Program) -> Measurements:
         async with GatewayProbes(program).running() as measurements:
             for plan in self._schedule.batches:
-                self._batch_ids.append(
-                    await self._retry_while_unavailable(program, partial(self._create, window=plan.window))
-                )
+                self._batch_ids.append(await self._call(program, partial(self._create, window=plan.window)))
             cancels = asyncio.ensure_future(self._cancel(program, BatchEnding.CANCELLED))
             await asyncio.sleep(self._schedule.restart_at)
             cancels.cancel()
@@ -212,7 +198,7 @@
         started_at = time.monotonic()
         for cancel_at, batch_id in due:
             await asyncio.sleep(max(0.0, started_at + cancel_at - time.monotonic()))
-            await self._retry_while_unavailable(program, partial(self._cancel_one, batch_id=batch_id))
+            await self._call(program, partial(self._cancel_one, batch_id=batch_id))
 
     @staticmethod
     async def _cancel_one(api: Api, batch_id: str) -> None:
--- a/bench/line_soak/run.py
+++ b/bench/line_soak/run.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any
 
 from bench.faults.settings import SETTINGS_VARIABLE, FaultSettings
-from tests.batch.api_client import Api, batch_config, connect
+from tests.batch.api_client import Api, batch_config, connect, retry_while_unavailable
 from tests.batch.harness import ENDPOINT
 from tests.standins import SECOND, SETTINGS, Program
 
@@ -24,11 +24,8 @@
 STOP_TIMEOUT = DEADLINE + 0.7  # seconds from SIGTERM to SIGKILL
 HANG_LEAD = 1.0  # seconds before a stop from which replicas hang
 ATTEMPTS = 50  # of a line, more than any line needs: the number of attempts shall not end a line
-RETRY_INTERVAL = 0.1  # seconds after a call that failed because the store could not write
 FINISH_TIMEOUT = 240.0  # seconds after the last start
 
-ResultT = TypeVar("ResultT")
-
 
 def input_file(lines: int) -> bytes:
     """Lines whose text says which line it is."""
@@ -76,7 +73,7 @@
             for replica in self._replicas:
                 await stack.enter_async_context(replica)
             async with self._gateway(FaultSettings()) as program:
-                batch_id = await self._retry_while_unavailable(program, self._create)
+                batch_id = await retry_while_unavailable(program, self._create)
                 await self._end_process(program, self._schedule.stops[0], batch_id)
             for stop, next_stop in zip(self._schedule.stops, self._schedule.stops[1:], strict=False):
                 await asyncio.sleep(stop.pause)
@@ -110,7 +107,7 @@
         self._set_hanging(stop.hangs)
         await asyncio.sleep(min(stop.after, HANG_LEAD))
         if stop.cancels:
-            await self._retry_while_unavailable(program, lambda api: self._cancel(api, batch_id))
+            await retry_while_unavailable(program, lambda api: self._cancel(api, batch_id))
         if stop.by_kill:
             self.observations.kills += 1
             program.process.kill()
@@ -138,22 +135,6 @@
         if batch["status"] in ("validating", "in_progress"):
             await api.request("POST", f"/v1/batches/{batch_id}/cancel")
 
-    @staticmethod
-    async def _retry_while_unavailable(
-        program: Program, operation: Callable[[Api], Awaitable[ResultT]]
-    ) -> ResultT:
-        """Repeat an operation while it answers 503 because of a disk fault; it has then changed nothing."""
-        while True:
-            api = await connect(program)
-            try:
-                return await operation(api)
-            except AssertionError as error:
-                if "(503," not in str(error):
-                    raise
-            finally:
-                await api.client.__aexit__()
-            await asyncio.sleep(RETRY_INTERVAL)
-
     async def _read_results(self, api: Api, batch_id: str) -> None:
         batch = await api.wait_until_final(batch_id)
         for file_id in (batch["output_file_id"], batch["error_file_id"]):
--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -15,7 +15,7 @@
 from .line_runner import POLL_INTERVAL, LineRunner
 from .lines import BatchLines
 from .records import Batch, BatchStatus, LineStatus
-from .results import encode_result
+from .result_files import finish_batch
 from .resumption import prepare_resumed_batch
 from .scheduler import LineScheduler
 from .slots import LineSlots
@@ -149,7 +149,7 @@
         await retry_until_stored(store_finalizing)
         # From here on no client can change the status: cancelling a batch that is being finalized is refused.
         status = self._final_status(batch)
-        await retry_until_stored(lambda: self.store.finish(batch, status, encode_result))
+        await retry_until_stored(lambda: finish_batch(self.store, batch, status))
         counts = {line_status.name.lower(): count for line_status, count in batch.line_counts.items()}
         log.info("batch_finished", batch=batch.id, status=status, **counts)
 
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, BinaryIO
@@ -20,8 +20,6 @@
 from .records import Batch, BatchStatus, File, LineRun, LineStatus, Upload, UploadStatus
 from .tables import StoreTables, encode_clock, encode_run
 
-ResultEncoder = Callable[[dict[str, Any]], bytes]
-
 
 class BatchStore:
     """Everything that the batch front stores, in one folder."""
@@ -89,7 +87,8 @@
         """A new scratch file and its path."""
         return self.contents.open_scratch()
 
-    def _new_file_record(self, filename: str, purpose: str, size: int, sha256: str) -> Record:
+    def new_file_record(self, filename: str, purpose: str, size: int, sha256: str) -> Record:
+        """The journal's description of a file with a new ID, created now."""
         return {
             "id": f"file-{secrets.token_hex(12)}",
             "filename": filename,
@@ -118,7 +117,7 @@
             key: The idempotency key; empty if the request had none.
             fingerprint: The fingerprint of the request, by which a repeated request is recognised.
         """
-        file_record = self._new_file_record(filename, purpose, content_size(content), sha256)
+        file_record = self.new_file_record(filename, purpose, content_size(content), sha256)
         await self.contents.commit(content, self.path(file_record["id"]))
         await self._write({"op": "file", "made": file_record, "key": key, "print": fingerprint})
         return self.files[file_record["id"]]
@@ -163,7 +162,7 @@
     async def complete_upload(self, upload: Upload, sha256: str) -> None:
         """Store the joined parts as a file."""
         content = self._joined_content(upload)
-        file_record = self._new_file_record(upload.filename, upload.purpose, content_size(content), sha256)
+        file_record = self.new_file_record(upload.filename, upload.purpose, content_size(content), sha256)
         await self.contents.commit(content, self.path(file_record["id"]))
         status = UploadStatus.COMPLETED
         await self._write({"op": "upload_status", "id": upload.id, "status": status, "made": file_record})
@@ -241,32 +240,3 @@
             )
         finally:
             self._ending_lines.discard((batch.id, line))
-
-    def _results(self, batch: Batch, served: bool) -> Iterator[dict[str, Any]]:
-        for line, status in enumerate(batch.line_statuses):
-            if status != LineStatus.OPEN and (status == LineStatus.SERVED) is served:
-                yield self.journal.read(batch.result_offsets[line])["out"]
-
-    async def finish(self, batch: Batch, status: BatchStatus, encode: ResultEncoder) -> None:
-        """Write the output and error files, and set the batch's final status in one record with both."""
-        result_files: Record = {}
-        for name, served in (("output", True), ("error", False)):
-            file_record = await self._write_results(batch, name, served, encode)
-            if file_record is not None:
-                result_files[name] = file_record
-        await self.set_status(batch, status, **result_files)
-
-    async def _write_results(
-        self, batch: Batch, name: str, served: bool, encode: ResultEncoder
-    ) -> Record | None:
-        """Write one result file and return its record; None if there are no results for it."""
-        path, file = self.open_scratch()
-        lines = (encode(result) for result in self._results(batch, served))
-        sha256 = await self.contents.write_lines(file, lines)
-        size = content_size(path)
-        if not size:
-            path.unlink()
-            return None
-        file_record = self._new_file_record(f"{batch.id}_{name}.jsonl", "batch_output", size, sha256)
-        await self.contents.commit(path, self.path(file_record["id"]))
-        return file_record
--- a/tests/batch/api_client.py
+++ b/tests/batch/api_client.py
@@ -4,14 +4,19 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from lockspoke.wire.http.encoding import encode_request
 from tests.standins import Client, Program, until
 
 from .harness import ENDPOINT
 
+RETRY_INTERVAL = 0.1  # seconds after an operation that failed because the store could not write
+
+ResultT = TypeVar("ResultT")
+
 
 def batch_config(folder: Path, **settings: Any) -> Path:
     values = {"listen": "127.0.0.1:0", "store": str(folder / "store"), "concurrency": 8} | settings
@@ -91,3 +96,25 @@
     client = Client(batch_port(program))
     await client.__aenter__()
     return Api(client)
+
+
+async def call_once(program: Program, operation: Callable[[Api], Awaitable[ResultT]]) -> ResultT:
+    """Run an operation on a connection of its own."""
+    api = await connect(program)
+    try:
+        return await operation(api)
+    finally:
+        await api.client.__aexit__()
+
+
+async def retry_while_unavailable(
+    program: Program, operation: Callable[[Api], Awaitable[ResultT]]
+) -> ResultT:
+    """Repeat an operation while it answers 503: the store cannot write, and nothing has changed."""
+    while True:
+        try:
+            return await call_once(program, operation)
+        except AssertionError as error:
+            if "(503," not in str(error):
+                raise
+        await asyncio.sleep(RETRY_INTERVAL)
--- a/tests/batch/test_restarts.py
+++ b/tests/batch/test_restarts.py
@@ -87,7 +87,18 @@
     return scenario
 
 
-@pytest.mark.parametrize(
+def check_repeats(harness: Harness, request_class: RequestClass, sent: int, request_ids: list[str]) -> None:
+    """Run the two lines that an earlier process had sent, of which so many may be sent again."""
+    harness.run(serve_all(harness))
+    assert len(harness.core_harness.started) == sent
+    expected = "served" if sent else "upstream_failed"
+    assert harness.results(only_batch(harness)) == dict.fromkeys(("c0", "c1"), expected)
+    if sent and request_class is not REPEATABLE:
+        repeated = [attempt.request.request_id for attempt in harness.core_harness.started]
+        assert sorted(repeated) == sorted(request_ids), "replicas recognize a repetition by its ID"
+
+
+REPEATS = pytest.mark.parametrize(
     ("request_class", "pause", "sent"),
     [
         (REPEATABLE, 20 * SECOND, 2),
@@ -95,23 +106,20 @@
         (WITH_KEY, 6 * SECOND, 0),
         (WITH_KEY_IN_ZONE, 4 * SECOND, 2),
         (WITH_KEY_IN_ZONE, 6 * SECOND, 0),
+        (WITH_KEY_IN_CELL, 4 * SECOND, 2),
         (ONCE, SECOND, 0),
     ],
 )
+
+
+@REPEATS
 def test_a_line_at_a_replica_at_a_planned_stop_is_repeated_only_within_its_window(
     tmp_path: Path, request_class: RequestClass, pause: int, sent: int
 ) -> None:
     """Guards against: lines were sent again after the window of their class, and failed within it."""
     first = Harness(tmp_path, classes=(request_class,))
     request_ids = stop_with_open_lines(first, 2)
-    second = restart(tmp_path, first, pause, request_class)
-    second.run(serve_all(second))
-    assert len(second.core_harness.started) == sent
-    expected = "served" if sent else "upstream_failed"
-    assert second.results(only_batch(second)) == dict.fromkeys(("c0", "c1"), expected)
-    if sent and request_class is not REPEATABLE:
-        repeated = [attempt.request.request_id for attempt in second.core_harness.started]
-        assert sorted(repeated) == sorted(request_ids), "replicas recognize a repetition by its ID"
+    check_repeats(restart(tmp_path, first, pause, request_class), request_class, sent, request_ids)
 
 
 @pytest.mark.parametrize(("pause", "sent"), [(4 * SECOND, 1), (6 * SECOND, 0)])
@@ -222,31 +230,14 @@
     return killed[0], request_ids
 
 
-@pytest.mark.parametrize(
-    ("request_class", "pause", "sent"),
-    [
-        (REPEATABLE, 20 * SECOND, 2),
-        (WITH_KEY, 4 * SECOND, 2),
-        (WITH_KEY, 6 * SECOND, 0),
-        (WITH_KEY_IN_CELL, 4 * SECOND, 2),
-        (ONCE, SECOND, 0),
-    ],
-)
+@REPEATS
 def test_a_line_at_a_replica_at_a_kill_is_repeated_only_as_its_class_allows(
     tmp_path: Path, request_class: RequestClass, pause: int, sent: int
 ) -> None:
     """Guards against: lines that may run once and were at replicas at a kill ran a second time."""
     first = Harness(tmp_path / "store", classes=(request_class,))
     killed, request_ids = kill_with_open_lines(first, tmp_path, 2)
-    second = restart(killed, first, pause, request_class)
-    second.run(serve_all(second))
-    assert len(second.core_harness.started) == sent
-    assert second.results(only_batch(second)) == dict.fromkeys(
-        ("c0", "c1"), "served" if sent else "upstream_failed"
-    )
-    if sent and request_class is not REPEATABLE:
-        repeated = [attempt.request.request_id for attempt in second.core_harness.started]
-        assert sorted(repeated) == sorted(request_ids), "replicas recognize a repetition by its ID"
+    check_repeats(restart(killed, first, pause, request_class), request_class, sent, request_ids)
 
 
 def test_a_line_that_has_not_been_sent_is_served_after_a_kill(tmp_path: Path) -> None:
--- a/tests/golden/batch_scenario.py
+++ b/tests/golden/batch_scenario.py
@@ -16,7 +16,8 @@
 from lockspoke.batch.lines import BatchLines
 from lockspoke.batch.objects import upload_object
 from lockspoke.batch.records import Batch, BatchStatus, LineStatus
-from lockspoke.batch.results import CANCELLED, EXPIRED, FAILED, LineEnd, encode_result
+from lockspoke.batch.result_files import finish_batch
+from lockspoke.batch.results import CANCELLED, EXPIRED, FAILED, LineEnd
 from lockspoke.batch.store import BatchStore
 
 from .support import counted_identifiers
@@ -222,7 +223,7 @@
         for line, end in ((2, LineStatus.SERVED), (0, LineStatus.SERVED), (1, LineStatus.FAILED)):
             await session.end_line(finished, line, end)
         await store.set_status(finished, BatchStatus.FINALIZING)
-        await store.finish(finished, BatchStatus.COMPLETED, encode_result)
+        await finish_batch(store, finished, BatchStatus.COMPLETED)
 
         cancelled = await session.make_batch(second, {"note": "cancelled"})
         await store.set_status(cancelled, BatchStatus.IN_PROGRESS, total=3)
@@ -230,7 +231,7 @@
         assert (await session.request("POST", f"/v1/batches/{cancelled.id}/cancel"))[0] == 200
         for line in (0, 2):
             await session.end_line(cancelled, line, LineStatus.CANCELLED)
-        await store.finish(cancelled, BatchStatus.CANCELLED, encode_result)
+        await finish_batch(store, cancelled, BatchStatus.CANCELLED)
 
         failed = await session.make_batch(second, {})
         error = {"code": "empty_file", "message": "no lines", "param": None, "line": None}
@@ -240,7 +241,7 @@
         await store.set_status(expired, BatchStatus.IN_PROGRESS, total=3)
         for line in range(3):
             await session.end_line(expired, line, LineStatus.EXPIRED)
-        await store.finish(expired, BatchStatus.EXPIRED, encode_result)
+        await finish_batch(store, expired, BatchStatus.EXPIRED)
         # Left in the midst of cancelling, as a crash would leave it.
         cancelling = await session.make_batch(first, {})
         await store.set_status(cancelling, BatchStatus.IN_PROGRESS, total=5)
@@ -299,10 +300,10 @@
         for line, end in ((1, LineStatus.SERVED), (4, LineStatus.FAILED), (2, LineStatus.SERVED)):
             await session.end_line(running, line, end)
         await store.set_status(running, BatchStatus.FINALIZING)
-        await store.finish(running, BatchStatus.COMPLETED, encode_result)
+        await finish_batch(store, running, BatchStatus.COMPLETED)
         for line in range(4):
             await session.end_line(cancelling, line, LineStatus.CANCELLED)
-        await store.finish(cancelling, BatchStatus.CANCELLED, encode_result)
+        await finish_batch(store, cancelling, BatchStatus.CANCELLED)
         assert (await session.request("DELETE", f"/v1/files/{second}"))[0] == 200
         late = await session.make_upload(9, key="late")
         await session.make_part(late, b"123456789")
