A batch says how many of its lines may have been open, whatever the concurrency is later

With a class that may run once now, lines that were at replicas ran again; cancelled, they were called not executed.

Cause: without records, the lines that may have run are the first open ones, as many as may be open at once; the number was that of the settings of the process that resumes.

Change: the number is stored with a batch before its lines begin, and again before a start or a reload raises it. Once a batch, nothing for a line.

--- a/lockspoke/batch/records.py
+++ b/lockspoke/batch/records.py
@@ -115,6 +115,8 @@
     # The journal offset of each line's result, by line number.
     result_offsets: array[int] = field(default_factory=lambda: array("Q"))
     line_counts: dict[LineStatus, int] = field(default_factory=dict)
+    # The most lines that any process may have had open at the same time; 0 if it is not known.
+    max_open_lines: int = 0
     # Whether each attempt of its lines so far has left a record. The class of lines decides whether they do.
     attempts_recorded: bool = False
     # The attempts that may have run, by their number, of each open line whose class restricts repeats.
--- a/lockspoke/batch/resumption.py
+++ b/lockspoke/batch/resumption.py
@@ -3,6 +3,7 @@
 Attempts are recorded while the class of lines restricts repeats (see `line_runs`). A batch that began while
 it did not, or under an older version of the program, has open lines that may have run and of which nothing is
 known. They are found by their place: lines are started in their order, and only so many may be open at once.
+The batch says how many these were at most, whatever the concurrency is now.
 """
 
 from __future__ import annotations
@@ -29,10 +30,11 @@
         store: Holds the batch.
         run: The batch, which an earlier process has started.
         restricts_repeats: Whether the class of lines does so; if it does, attempts are recorded from now on.
-        max_open_lines: How many lines may be started and open at the same time.
+        max_open_lines: How many lines may be open at the same time now; taken for those of earlier processes
+            if the batch does not say how many these could have.
     """
     batch = run.batch
-    first_open_lines = _first_open_lines(batch, max_open_lines)
+    first_open_lines = _first_open_lines(batch, batch.max_open_lines or max_open_lines)
     if not restricts_repeats:
         run.possibly_run.update(first_open_lines)
     elif not batch.attempts_recorded:
--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import structlog
 
@@ -18,7 +19,7 @@
 from .result_files import finish_batch
 from .resumption import prepare_resumed_batch
 from .scheduler import LineScheduler
-from .slots import LineSlots
+from .slots import LineSlots, max_backlog
 from .store import BatchStore
 from .tasks import BackgroundTasks, retry_until_readable, retry_until_stored
 
@@ -54,14 +55,38 @@
         self.lines = lines
         self.now = now
         self.slots = LineSlots(core, concurrency)
+        self._target_concurrency = concurrency  # The slots follow once all batches say so.
         self.tasks = BackgroundTasks()
         self.line_runner = LineRunner(store, core, lines, self.slots, max_attempts, now, boot_time)
         self.scheduler = LineScheduler(self.line_runner, self.slots, self.tasks, now)
 
     def reconfigure(self, concurrency: int, max_attempts: int) -> None:
         """Change the limits; lines in flight continue."""
-        self.slots.concurrency = concurrency
         self.line_runner.max_attempts = max_attempts
+        self._target_concurrency = concurrency
+        if concurrency > self.slots.concurrency:
+            self.tasks.spawn(self._raise_concurrency(concurrency))
+        else:
+            self.slots.concurrency = concurrency
+
+    async def _raise_concurrency(self, concurrency: int) -> None:
+        """Use a higher concurrency once a later process would know of it."""
+        for batch in list(self.store.batches.values()):
+            if batch.total and not batch.is_final:
+                await self._store_max_open_lines(batch)
+        # Another reload may have come meanwhile.
+        if self._target_concurrency == concurrency:
+            self.slots.concurrency = concurrency
+            self.slots.changed.set()
+
+    @property
+    def _max_open_lines(self) -> int:
+        return max(self.slots.max_backlog, max_backlog(self._target_concurrency))
+
+    async def _store_max_open_lines(self, batch: Batch) -> None:
+        count = self._max_open_lines
+        if batch.max_open_lines < count:
+            await retry_until_stored(lambda: self.store.set_max_open_lines(batch, count))
 
     def start(self) -> None:
         """Resume every batch that was unfinished when the program last stopped, and schedule lines."""
@@ -104,6 +129,7 @@
         log.info("batch_started", batch=batch.id, lines=batch.total, open_lines=open_lines)
         if batch.runs:
             log.info("batch_lines_may_have_run", batch=batch.id, lines=len(batch.runs))
+        await self._store_max_open_lines(batch)
         self.scheduler.add(run)
         await run.drained.wait()
         await self._finish_batch(batch)
@@ -135,7 +161,8 @@
             async with self.store.status_lock:
                 # If a client has cancelled the batch during validation, its lines end as cancelled.
                 status = BatchStatus.CANCELLING if batch.is_cancelling else BatchStatus.IN_PROGRESS
-                details = {"attempts_recorded": True} if attempts_recorded else {}
+                details: dict[str, Any] = {"attempts_recorded": True} if attempts_recorded else {}
+                details["max_open_lines"] = self._max_open_lines
                 await self.store.set_status(batch, status, total=len(index.offsets), **details)
 
         await retry_until_stored(store_total)
--- a/lockspoke/batch/slots.py
+++ b/lockspoke/batch/slots.py
@@ -14,6 +14,11 @@
 BACKLOG_FACTOR = 2
 
 
+def max_backlog(concurrency: int) -> int:
+    """The most lines in flight or backing off at the same time, with this concurrency."""
+    return BACKLOG_FACTOR * concurrency
+
+
 class LineSlots:
     """Counts lines in flight and decides whether another one may start."""
 
@@ -28,7 +33,7 @@
     @property
     def max_backlog(self) -> int:
         """The most lines in flight or backing off at the same time."""
-        return BACKLOG_FACTOR * self.concurrency
+        return max_backlog(self.concurrency)
 
     @property
     def backlog_full(self) -> bool:
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -224,6 +224,14 @@
         """Store whether each attempt of the batch's lines so far has left a record."""
         await self._write({"op": "attempts_recorded", "batch": batch.id, "attempts_recorded": recorded})
 
+    async def set_max_open_lines(self, batch: Batch, count: int) -> None:
+        """Store how many lines of the batch may be open at the same time from now on, at the most.
+
+        Raises:
+            StoreError: The write failed.
+        """
+        await self._write({"op": "max_open_lines", "batch": batch.id, "max_open_lines": count})
+
     async def end_line(self, batch: Batch, line: int, status: LineStatus, result: dict[str, Any]) -> None:
         """Store the final status of a line, with its entry for the result file.
 
--- a/lockspoke/batch/tables.py
+++ b/lockspoke/batch/tables.py
@@ -43,6 +43,7 @@
             "run": self._add_run,
             "never_ran": self._drop_run,
             "attempts_recorded": self._set_attempts_recorded,
+            "max_open_lines": self._set_max_open_lines,
         }
 
     def apply(self, offset: int, record: Record) -> None:
@@ -102,6 +103,7 @@
         batch.entered_at[batch.status] = record["at"]
         batch.errors = record.get("errors", batch.errors)
         batch.attempts_recorded = record.get("attempts_recorded", batch.attempts_recorded)
+        batch.max_open_lines = record.get("max_open_lines", batch.max_open_lines)
         if "total" in record:
             batch.set_total(record["total"])
         if "output" in record:
@@ -130,6 +132,9 @@
     def _set_attempts_recorded(self, _: int, record: Record) -> None:
         self.batches[record["batch"]].attempts_recorded = record["attempts_recorded"]
 
+    def _set_max_open_lines(self, _: int, record: Record) -> None:
+        self.batches[record["batch"]].max_open_lines = record["max_open_lines"]
+
     def _end_line(self, offset: int, record: Record) -> None:
         batch, line = self.batches[record["batch"]], record["line"]
         if not batch.is_open(line):
--- a/tests/batch/test_restarts.py
+++ b/tests/batch/test_restarts.py
@@ -64,10 +64,15 @@
 
 
 def restart(
-    folder: Path, stopped: Harness, pause: int, request_class: RequestClass, replicas: int = 2
+    folder: Path,
+    stopped: Harness,
+    pause: int,
+    request_class: RequestClass,
+    replicas: int = 2,
+    concurrency: int = 2,
 ) -> Harness:
     """The next process, `pause` nanoseconds later."""
-    harness = Harness(folder, replicas=replicas, classes=(request_class,))
+    harness = Harness(folder, concurrency, replicas=replicas, classes=(request_class,))
     harness.core_harness.time = stopped.core_harness.time + pause
     harness.clock = stopped.clock + pause / SECOND
     return harness
@@ -513,3 +518,70 @@
     second = restart(killed[0], first, SECOND, ONCE)
     second.run(serve_all(second))
     assert second.results(only_batch(second)) == {"c0": "served", "c1": "upstream_failed"}
+
+
+def kill_with_some_lines_sent(
+    harness: Harness, folder: Path, sent: int, raised_to: int | None = None
+) -> Path:
+    """Kill a process while the first of 12 lines are at replicas; returns its store."""
+    killed: list[Path] = []
+
+    async def scenario() -> None:
+        await harness.create_batch(*lines(12))
+        if raised_to is not None:
+            await until(lambda: len(harness.in_flight()) == 1)
+            harness.runner.reconfigure(raised_to, 2)
+        await until(lambda: len(harness.in_flight()) == sent)
+        killed.append(copy_at_kill(harness, folder))
+        harness.runner.slots.stop()
+        harness.core_harness.core.hand_off()
+
+    harness.run(scenario)
+    return killed[0]
+
+
+RAISED = pytest.mark.parametrize(("concurrency", "raised_to"), [(4, None), (1, 4)])
+
+
+@RAISED
+def test_a_lower_concurrency_leaves_no_line_out_that_may_have_run(
+    tmp_path: Path, concurrency: int, raised_to: int | None
+) -> None:
+    """Guards against: a line that an earlier process had sent ran again, as fewer may be open at once now."""
+    first = Harness(tmp_path / "store", concurrency, classes=(REPEATABLE,))
+    killed = kill_with_some_lines_sent(first, tmp_path, 4, raised_to)
+    second = restart(killed, first, SECOND, ONCE, concurrency=1)
+    second.run(serve_all(second))
+    results = second.results(only_batch(second))
+    assert {results[f"c{line}"] for line in range(4)} == {"upstream_failed"}
+    assert {results[f"c{line}"] for line in range(8, 12)} == {"served"}
+
+
+@RAISED
+def test_a_lower_concurrency_does_not_make_an_error_say_that_a_line_was_not_executed(
+    tmp_path: Path, concurrency: int, raised_to: int | None
+) -> None:
+    first = Harness(tmp_path / "store", concurrency, classes=(REPEATABLE,))
+    killed = kill_with_some_lines_sent(first, tmp_path, 4, raised_to)
+    second = restart(killed, first, SECOND, REPEATABLE, concurrency=1)
+    second.runner.slots.stopping = True  # No line starts before the cancellation.
+
+    async def scenario() -> None:
+        await cancel(second)
+        await until(lambda: only_batch(second).is_final)
+
+    second.run(scenario)
+    messages = error_messages(second)
+    assert {messages[f"c{line}"] for line in range(4)} == {("batch_cancelled", True)}
+    assert {messages[f"c{line}"] for line in range(8, 12)} == {("batch_cancelled", False)}
+
+
+def test_a_higher_concurrency_does_not_make_lines_count_as_sent(tmp_path: Path) -> None:
+    """What the earlier process could have sent decides, not what this one may."""
+    first = Harness(tmp_path / "store", concurrency=1, classes=(REPEATABLE,))
+    killed = kill_with_some_lines_sent(first, tmp_path, 1)
+    second = restart(killed, first, SECOND, ONCE, concurrency=4)
+    second.run(serve_all(second))
+    results = second.results(only_batch(second))
+    assert results.pop("c0") == results.pop("c1") == "upstream_failed"
+    assert set(results.values()) == {"served"}
