Operators' calls during an upgrade hold at both processes before they are answered with yes

Cause: each process read the shared file, added its change and wrote its own whole set, with nothing that excludes the other; a missing entry was then taken for a call back.

Change: changes are made under a lock of the system's, to the state in the file as it is then; the file names the bans that were ended, and what it lacks changes nothing; a call is answered once each other process says that it has taken the change up, otherwise with 503 and the reason. Earlier versions still read the file. The golden bytes are unchanged; its scenario and the tests call the functions by their new names.

--- a/lockspoke/core/replica_set.py
+++ b/lockspoke/core/replica_set.py
@@ -253,13 +253,20 @@
         """Restore the bans of an earlier process; to be called before the first list is applied."""
         self._banned.update(uids)
 
+    def is_known_or_banned(self, uid: str) -> bool:
+        """Return whether a list has named the replica, or operators have banned it."""
+        return uid in self._banned or self._find(uid) is not None
+
+    def _find(self, uid: str) -> Replica | None:
+        return next((replica for replica in self.replicas.values() if replica.uid == uid), None)
+
     def set_banned(self, uid: str, banned: bool) -> ReplicaSetChange | None:
         """Ban a replica from new attempts, or lift the ban.
 
         Returns None if the replica is neither known nor banned. The event of the returned change has no
         entries if the balancer need not be notified.
         """
-        replica = next((replica for replica in self.replicas.values() if replica.uid == uid), None)
+        replica = self._find(uid)
         if replica is None and uid not in self._banned:
             return None
         if banned:
--- a/lockspoke/lifecycle/command_line.py
+++ b/lockspoke/lifecycle/command_line.py
@@ -16,12 +16,12 @@
 
 import structlog
 
-from .bans_file import bans_path
 from .composition import build_gateway
 from .config import ConfigError, GatewayConfig
 from .config_file import read_config
 from .event_loop import ArrivalTrackingLoop
 from .logging_setup import start_logging
+from .operator_state_file import operator_state_path
 from .program import Program
 from .reload import ConfigReloader, SectionReader
 from .subsystems import SubsystemContext
@@ -70,8 +70,7 @@
     read_sections = _section_reader(edge, batch)
     context = SubsystemContext(config, environment, (edge or batch or Path()).parent)
     subsystems = [section.create(section.settings, context) for section in read_sections()]
-    bans_file = bans_path(environment, config.name)
-    gateway = build_gateway(config, subsystems, bans_file)
+    gateway = build_gateway(config, subsystems, operator_state_path(environment, config.name))
     reloader = ConfigReloader(gateway, environment, read_sections)
     await Program(gateway, reloader).run()
 
--- a/lockspoke/lifecycle/composition.py
+++ b/lockspoke/lifecycle/composition.py
@@ -13,10 +13,10 @@
 from lockspoke.wire.operators.front import MAX_CONNECTIONS, OperatorFront
 from lockspoke.wire.replicas.transport import ReplicaTransport
 
-from .ban_storage import BanStorage
 from .clock import EventLoopClock
 from .config import GatewayConfig
 from .operator_commands import OperatorCommands
+from .operator_state_storage import OperatorStateStorage
 from .phases import ProgramState
 from .platform_discovery import PlatformDiscovery
 from .subsystems import EndpointListSource, Subsystem, find_endpoint_list_source
@@ -34,7 +34,7 @@
     core: Core
     clients: ClientFront
     operators: OperatorFront | None  # None if the configuration has no address for operators
-    bans: BanStorage
+    operator_state: OperatorStateStorage
     subsystems: Sequence[Subsystem]
     reserved_descriptors: int  # File descriptors set aside for connections of operators and subsystems.
 
@@ -70,7 +70,9 @@
     return per_side - 1
 
 
-def build_gateway(config: GatewayConfig, subsystems: Sequence[Subsystem], bans_file: Path) -> Gateway:
+def build_gateway(
+    config: GatewayConfig, subsystems: Sequence[Subsystem], operator_state_file: Path
+) -> Gateway:
     """Build a gateway without starting it. Raises ConfigError if a part doesn't accept the configuration."""
     state = ProgramState()
     clock = EventLoopClock()
@@ -85,9 +87,9 @@
     list_source.attach(core)
     clients = _client_front(config, core, state, per_side)
     operators = None
-    bans = BanStorage(bans_file, core)
+    operator_state = OperatorStateStorage(operator_state_file, core)
     if config.operator is not None:
-        operators = OperatorFront(OperatorCommands(state, core, clients, bans).execute)
+        operators = OperatorFront(OperatorCommands(state, clients, operator_state).execute)
     for subsystem in subsystems:
         subsystem.attach(core, clients)
     return Gateway(
@@ -99,7 +101,7 @@
         core=core,
         clients=clients,
         operators=operators,
-        bans=bans,
+        operator_state=operator_state,
         subsystems=subsystems,
         reserved_descriptors=reserved_descriptors,
     )
--- a/lockspoke/lifecycle/operator_commands.py
+++ b/lockspoke/lifecycle/operator_commands.py
@@ -4,13 +4,13 @@
 
 import structlog
 
-from lockspoke.core.core import Core
 from lockspoke.wire.clients.admission import AdmissionMode
 from lockspoke.wire.clients.front import ClientFront
 from lockspoke.wire.http.messages import HttpError
 from lockspoke.wire.operators.api import OperatorCommand, OperatorRequest
 
-from .ban_storage import BanStorage
+from .operator_state import BanChange
+from .operator_state_storage import NotSharedError, OperatorStateStorage, UnknownReplicaError
 from .phases import ProgramState
 
 log = structlog.get_logger()
@@ -19,19 +19,20 @@
 class OperatorCommands:
     """Executes operators' requests on one gateway."""
 
-    def __init__(self, state: ProgramState, core: Core, clients: ClientFront, bans: BanStorage) -> None:
+    def __init__(
+        self, state: ProgramState, clients: ClientFront, operator_state: OperatorStateStorage
+    ) -> None:
         self._state = state
-        self._core = core
         self._clients = clients
-        self._bans = bans
+        self._operator_state = operator_state
 
-    def execute(self, request: OperatorRequest) -> str:
+    async def execute(self, request: OperatorRequest) -> str:
         """Execute a request; returns the text of the response. Raises HttpError if it is rejected."""
         match request.command:
             case OperatorCommand.READY:
                 return self._check_ready()
             case OperatorCommand.OFFLINE | OperatorCommand.ONLINE:
-                self._set_banned(request.uid, request.command is OperatorCommand.OFFLINE)
+                await self._set_banned(request.uid, request.command is OperatorCommand.OFFLINE)
             case OperatorCommand.OUT_OF_SERVICE | OperatorCommand.IN_SERVICE:
                 self._set_out_of_service(request.command is OperatorCommand.OUT_OF_SERVICE)
         log.info("operator_request", command=request.command.name.lower(), replica=request.uid)
@@ -42,9 +43,13 @@
             raise HttpError(503, f"not ready: {self._state.phase.value}")
         return "ready"
 
-    def _set_banned(self, uid: str, banned: bool) -> None:
-        if not self._bans.set_banned(uid, banned):
-            raise HttpError(404, f"no list has named {uid[:200]}")
+    async def _set_banned(self, uid: str, banned: bool) -> None:
+        try:
+            await self._operator_state.change(BanChange(uid, banned))
+        except UnknownReplicaError:
+            raise HttpError(404, f"no list has named {uid[:200]}") from None
+        except NotSharedError as error:
+            raise HttpError(503, f"{error}; try again") from None
 
     def _set_out_of_service(self, out_of_service: bool) -> None:
         if self._state.is_stopping:
--- a/lockspoke/lifecycle/bans_file.py
+++ b/lockspoke/lifecycle/operator_state_file.py
@@ -1,6 +1,6 @@
 """Reads and writes a file with operators' bans of replicas, which preserves them across an upgrade.
 
-The platform keeps the folder only for the duration of an upgrade, so the file has only the current bans. It
+The platform keeps the folder only for the duration of an upgrade, so the file has only the current state. It
 is replaced atomically and has a checksum, so that a reader never uses an incomplete file.
 """
 
@@ -9,25 +9,31 @@
 import json
 import os
 import zlib
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from pathlib import Path
+from typing import Any
 
 import structlog
 
+from .operator_state import OperatorState
+
 VERSION = 1
 DEFAULT_FOLDER = "/tmp"  # noqa: S108 - the platform keeps this folder during an upgrade
 
 log = structlog.get_logger()
 
 
-def bans_path(environment: Mapping[str, str], gateway: str) -> Path:
-    """Return the path of a gateway's bans file."""
+def operator_state_path(environment: Mapping[str, str], gateway: str) -> Path:
+    """Return the path of a gateway's file."""
     return Path(environment.get("TMPDIR") or DEFAULT_FOLDER, f"{gateway}.bans.json")
 
 
-def write_bans(path: Path, uids: Iterable[str]) -> bool:
-    """Replace the file with one that lists these replicas; logs a failure. Returns whether it was written."""
-    body = json.dumps({"version": VERSION, "uids": sorted(uids)})
+def write_state(path: Path, state: OperatorState) -> bool:
+    """Replace the file with one that has this state; logs a failure. Returns whether it was written."""
+    record: dict[str, Any] = {"version": VERSION, "uids": sorted(state.banned)}
+    if state.serial:  # Earlier versions read the first two keys and ignore others.
+        record |= {"serial": state.serial, "ended": sorted(state.ended)}
+    body = json.dumps(record)
     temporary = path.with_name(f".{path.name}.{os.getpid()}")
     try:
         temporary.write_text(f"{_checksum(body)} {body}\n")
@@ -38,13 +44,8 @@
     return True
 
 
-def read_bans(path: Path) -> list[str]:
-    """Return the banned replicas; none if there is no file or if it is invalid, which is logged."""
-    return sorted(load_bans(path) or ())
-
-
-def load_bans(path: Path) -> set[str] | None:
-    """Return the banned replicas; None if there is no file or if it is invalid, which is logged."""
+def load_state(path: Path) -> OperatorState | None:
+    """Return the state; None if there is no file or if it is invalid, which is logged."""
     try:
         text = path.read_text()
     except FileNotFoundError:
@@ -61,7 +62,11 @@
     if record.get("version") != VERSION:
         _log_unreadable(path, f"version {record.get('version')}, want {VERSION}")
         return None
-    return {str(uid) for uid in record["uids"]}
+    return OperatorState(record.get("serial", 0), _uids(record["uids"]), _uids(record.get("ended", ())))
+
+
+def _uids(values: list[Any]) -> frozenset[str]:
+    return frozenset(str(value) for value in values)
 
 
 def _checksum(body: str) -> str:
--- /dev/null
+++ b/lockspoke/lifecycle/operator_state_storage.py
@@ -0,0 +1,205 @@
+"""Keeps what operators have set in a file, which the processes of one gateway share during an upgrade.
+
+Each process makes its changes under a lock and to the state in the file, and follows the changes of the
+others. A call is confirmed once all processes obey it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from pathlib import Path
+
+import structlog
+
+from lockspoke.core.core import Core
+
+from .operator_state import BanChange, OperatorState
+from .operator_state_file import load_state, write_state
+from .process_group import GroupLockedError, ProcessGroup
+
+RETRY_INTERVAL = 1.0  # Seconds after which a failed write is retried.
+POLL_INTERVAL = 0.05  # Seconds between two looks at the file; a ban is obeyed within 0.25 s.
+# An operator waits for a second, so both of these have to fit into it.
+LOCK_TIMEOUT = 0.2  # Seconds for which a change waits for the lock.
+FOLLOW_TIMEOUT = 0.6  # Seconds for which a call waits until other processes follow it.
+WAIT_INTERVAL = 0.01  # Seconds between two looks while a call waits.
+
+log = structlog.get_logger()
+
+# Tells whether a file has been replaced: its inode, size, and time of the last change in nanoseconds.
+_Signature = tuple[int, int, int]
+
+
+class UnknownReplicaError(Exception):
+    """No list has named the replica."""
+
+
+class NotSharedError(Exception):
+    """Another process of this gateway does not know of a change; the message says why."""
+
+
+class OperatorStateStorage:
+    """The part of one process in the state that it shares."""
+
+    def __init__(self, path: Path, core: Core) -> None:
+        self._path = path
+        self._core = core
+        self._group = ProcessGroup(path)
+        self._state = OperatorState()  # As stored, as far as this process knows.
+        self._unsaved: list[BanChange] = []  # Changes in force here that could not be written.
+        self._retry_at = 0.0  # The monotonic time at which these are written again.
+        self._signature: _Signature | None = None  # Of the file that was last read.
+
+    def restore(self) -> None:
+        """Restore the bans of an earlier process; to be called before the first list is applied."""
+        self._read_changes()
+        self._core.replica_set.restore_bans(self._state.banned)
+
+    def join(self) -> None:
+        """Make this process one that others wait for; to be called before the first request is served.
+
+        A change that is made before it has joined is in the file that it reads next.
+        """
+        self._group.follow(self._state.serial)
+        self.follow_once()
+
+    def leave(self) -> None:
+        """Let others no longer wait for this process."""
+        self._group.leave()
+
+    async def change(self, change: BanChange) -> None:
+        """Make a change; returns once all processes of this gateway obey it.
+
+        Raises:
+            UnknownReplicaError: No list has named the replica.
+            NotSharedError: Another process does not know of the change. It may be made again.
+        """
+        await self._commit_in_turn(change)
+        deadline = time.monotonic() + FOLLOW_TIMEOUT
+        serial = self._state.serial
+        while any(followed < serial for followed in self._followed_by_others()):
+            if time.monotonic() >= deadline:
+                raise NotSharedError("another process of this gateway has not taken the change up yet")
+            await asyncio.sleep(WAIT_INTERVAL)
+
+    async def _commit_in_turn(self, change: BanChange) -> None:
+        deadline = time.monotonic() + LOCK_TIMEOUT
+        while True:
+            try:
+                with self._group.exclusively():
+                    self._commit(change)
+            except GroupLockedError:
+                if time.monotonic() >= deadline:
+                    raise NotSharedError("another process of this gateway is making a change") from None
+                await asyncio.sleep(WAIT_INTERVAL)
+            except OSError as error:
+                self._keep_unsaved(change, str(error))
+                return
+            else:
+                return
+
+    def _commit(self, change: BanChange) -> None:
+        """Make a change to the stored state; the lock of the group is held."""
+        self._signature = None  # Whatever its signature is, the file is read.
+        self._take_up_changes()
+        if not self._core.replica_set.is_known_or_banned(change.uid):
+            raise UnknownReplicaError(change.uid)
+        if not self._save(change):
+            self._keep_unsaved(change, "the file of bans cannot be written")
+
+    def _save(self, *changes: BanChange) -> bool:
+        state = self._state
+        for change in (*self._unsaved, *changes):
+            state = state.after(change)
+        if not write_state(self._path, state):
+            return False
+        self._state = state
+        self._unsaved.clear()
+        self._signature = self._read_signature()
+        self._apply()
+        return True
+
+    def _keep_unsaved(self, change: BanChange, reason: str) -> None:
+        """Obey a change that could not be stored, if there is no other process that has to know of it."""
+        if not self._core.replica_set.is_known_or_banned(change.uid):
+            raise UnknownReplicaError(change.uid)
+        if self._followed_by_others():
+            raise NotSharedError(reason)
+        self._unsaved.append(change)
+        self._retry_at = time.monotonic() + RETRY_INTERVAL
+        self._apply()
+
+    def _followed_by_others(self) -> list[int]:
+        try:
+            return self._group.followed_by_others()
+        except OSError as error:
+            log.error("bans_read_failed", file=str(self._path.parent), reason=str(error))
+            return []
+
+    def run_periodic_checks(self) -> None:
+        """Retry a failed write when it is due."""
+        if not self._unsaved or time.monotonic() < self._retry_at:
+            return
+        self._retry_at = time.monotonic() + RETRY_INTERVAL
+        try:
+            with self._group.exclusively():
+                self._take_up_changes()
+                self._save()
+        except (GroupLockedError, OSError) as error:
+            log.error("bans_write_failed", file=str(self._path), reason=repr(error))
+
+    async def follow_changes(self) -> None:
+        """Apply what another process writes, until cancelled."""
+        while True:
+            await asyncio.sleep(POLL_INTERVAL)
+            self.follow_once()
+
+    def follow_once(self) -> None:
+        """Apply what another process has written, and tell it so."""
+        self._take_up_changes()
+        self._group.follow(self._state.serial)
+
+    def _take_up_changes(self) -> None:
+        if not self._read_changes():
+            return
+        before = self._core.replica_set.banned
+        self._apply()
+        after = self._core.replica_set.banned
+        if after != before:
+            log.info("bans_applied", given=len(after - before), ended=len(before - after))
+
+    def _read_changes(self) -> bool:
+        """Update the state if the file has been replaced since it was last read; returns whether it was.
+
+        A file that is missing or cannot be read changes nothing.
+        """
+        signature = self._read_signature()
+        if signature is None or signature == self._signature:
+            return False
+        self._signature = signature
+        stored = load_state(self._path)
+        if stored is None:
+            return False
+        self._state = self._state.updated_by(stored)
+        return True
+
+    def _apply(self) -> None:
+        """Obey the state."""
+        state = self._state
+        for change in self._unsaved:
+            state = state.after(change)
+        current = self._core.replica_set.banned
+        for uid in state.banned - current:
+            if not self._core.set_banned(uid, True):
+                self._core.replica_set.restore_bans([uid])  # It holds as soon as a list names the replica.
+        for uid in current & state.ended:
+            self._core.set_banned(uid, False)
+
+    def _read_signature(self) -> _Signature | None:
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            return None
+        return status.st_ino, status.st_size, status.st_mtime_ns
--- a/lockspoke/lifecycle/periodic_checks.py
+++ b/lockspoke/lifecycle/periodic_checks.py
@@ -56,7 +56,7 @@
             gateway.clients.listener.close_idle(IDLE_TIME)
         if gateway.operators is not None:
             gateway.operators.run_periodic_checks()
-        gateway.bans.run_periodic_checks()
+        gateway.operator_state.run_periodic_checks()
         for subsystem in gateway.subsystems:
             subsystem.run_periodic_checks()
 
--- a/lockspoke/lifecycle/program.py
+++ b/lockspoke/lifecycle/program.py
@@ -38,7 +38,8 @@
         gc.freeze()  # Existing objects live until the exit, so garbage collection can skip them.
         tasks = [asyncio.ensure_future(PeriodicChecks(self._gateway).run())]
         if self._gateway.operators is not None:
-            tasks.append(asyncio.ensure_future(self._gateway.bans.follow_changes()))
+            self._gateway.operator_state.join()
+            tasks.append(asyncio.ensure_future(self._gateway.operator_state.follow_changes()))
         await self._stop.wait()
         await GracefulShutdown(self._gateway).run()
         for task in tasks:
@@ -58,7 +59,7 @@
         gateway = self._gateway
         gateway.core.start()
         if gateway.operators is not None:
-            gateway.bans.restore()
+            gateway.operator_state.restore()
         initial_list = gateway.endpoint_list_source.initial_list()
         if initial_list is not None:
             gateway.core.endpoint_list_changed(initial_list, cached=True)
@@ -78,6 +79,7 @@
 
     def _close(self) -> None:
         gateway = self._gateway
+        gateway.operator_state.leave()
         if gateway.operators is not None:
             gateway.operators.listener.stop()
             gateway.operators.listener.close_all()
--- a/lockspoke/wire/operators/front.py
+++ b/lockspoke/wire/operators/front.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -24,7 +24,8 @@
 READ_SIZE_BYTES = 4096
 TEXT_HEADERS = {"Content-Type": "text/plain; charset=utf-8"}
 
-OperatorHandler = Callable[[OperatorRequest], str]  # Returns the text of a 200 response or raises HttpError.
+# Returns the text of a 200 response or raises HttpError.
+OperatorHandler = Callable[[OperatorRequest], Awaitable[str]]
 
 
 class OperatorFront:
@@ -43,7 +44,7 @@
         timeout = REDUCED_CONNECTION_TIMEOUT_SECONDS if many_connections else CONNECTION_TIMEOUT_SECONDS
         cutoff = asyncio.get_running_loop().time() - timeout
         for connection in list(self.listener.connections):
-            if connection.opened_at < cutoff and not connection.reader.has_unread:
+            if connection.opened_at < cutoff and connection.idle and not connection.reader.has_unread:
                 close(connection, CloseReason.STALLED)
 
 
@@ -57,12 +58,13 @@
         self.has_received = False
         self.close_reason: CloseReason | None = None
         self._handler = handler
+        self._is_answering = False  # Whether its request has been read and its response not been written.
         self._assembler = RequestAssembler()
 
     @property
     def idle(self) -> bool:
-        """Whether the connection may be closed to make room for another; true as long as it is open."""
-        return not self.stream.closed()
+        """Whether the connection may be closed to make room for another: it is open, without a request."""
+        return not self.stream.closed() and not self._is_answering
 
     async def run(self) -> None:
         """Read one request and send its response; the listener then closes the connection."""
@@ -71,7 +73,9 @@
 
     async def _response(self) -> bytes:
         try:
-            status, text = 200, self._handle(await self._read_request())
+            request = await self._read_request()
+            self._is_answering = True
+            status, text = 200, await self._handler(decode_operator_request(request))
         except HttpError as error:
             status, text = error.status, str(error)
         return encode_response(status, f"{text}\n".encode(), TEXT_HEADERS, keep_alive=False)
@@ -83,6 +87,3 @@
             requests = self._assembler.feed(data)
             if requests:
                 return requests[0]
-
-    def _handle(self, request: Request) -> str:
-        return self._handler(decode_operator_request(request))
--- a/tests/golden/kept_scenario.py
+++ b/tests/golden/kept_scenario.py
@@ -26,7 +26,8 @@
 from lockspoke.inventory import store as inventory_store
 from lockspoke.inventory.settings import InventorySettings
 from lockspoke.inventory.source import InventorySource
-from lockspoke.lifecycle.bans_file import read_bans, write_bans
+from lockspoke.lifecycle.operator_state import OperatorState
+from lockspoke.lifecycle.operator_state_file import load_state, write_state
 
 from .log_names import event_now
 from .support import Tree, read_tree, write_tree
@@ -75,8 +76,8 @@
 
 def write_ban_files(folder: Path) -> Tree:
     """A file of bans and one that holds none."""
-    write_bans(folder / BANS, BANNED)
-    write_bans(folder / "none.json", [])
+    write_state(folder / BANS, OperatorState(banned=frozenset(BANNED)))
+    write_state(folder / "none.json", OperatorState())
     return read_tree(folder)
 
 
@@ -96,8 +97,12 @@
 
 def _ban_case(name: str, path: Path) -> dict[str, Any]:
     with capture_logs() as logs:
-        bans = read_bans(path)
-    return {"case": name, "bans": bans, "log": [_as_recorded(line) for line in logs]}
+        state = load_state(path)
+    return {
+        "case": name,
+        "bans": sorted(state.banned) if state is not None else [],
+        "log": [_as_recorded(line) for line in logs],
+    }
 
 
 def _as_recorded(line: MutableMapping[str, Any]) -> dict[str, Any]:
--- a/tests/wire/operators/test_front.py
+++ b/tests/wire/operators/test_front.py
@@ -9,7 +9,8 @@
 import pytest
 
 from bench.faults.settings import SETTINGS_VARIABLE, FaultSettings
-from lockspoke.lifecycle.bans_file import read_bans, write_bans
+from lockspoke.lifecycle.operator_state import OperatorState
+from lockspoke.lifecycle.operator_state_file import load_state, write_state
 from tests.lifecycle.support import run
 from tests.standins import Client, FakeDiscovery, FakeReplica, Program, request_bytes, until
 
@@ -30,6 +31,11 @@
         return status
 
 
+def banned_in(file: Path) -> list[str]:
+    state = load_state(file)
+    return sorted(state.banned) if state is not None else []
+
+
 async def send_requests(program: Program, first: int, count: int = 12) -> None:
     async with Client(program.port) as client:
         for number in range(first, first + count):
@@ -157,7 +163,7 @@
             assert len(one.seen) == before, "the new version has taken up the ban"
             # A ban of its own must not undo the one that it has taken up, and a call back ends it.
             assert await send_command(new, f"replicas/s-{two.port}/offline") == 200
-            assert set(read_bans(Path(old.folder.name, "t1.bans.json"))) == {
+            assert set(banned_in(Path(old.folder.name, "t1.bans.json"))) == {
                 f"s-{one.port}",
                 f"s-{two.port}",
             }
@@ -183,19 +189,19 @@
 
 def test_truncated_or_changed_bans_file_is_ignored(tmp_path: Path) -> None:
     file = tmp_path / "n1.bans.json"
-    assert read_bans(file) == []
-    write_bans(file, ["s-2", "s-1"])
+    assert banned_in(file) == []
+    write_state(file, OperatorState(banned=frozenset(["s-2", "s-1"])))
     complete = file.read_bytes()
-    assert read_bans(file) == ["s-1", "s-2"] and [one.name for one in tmp_path.iterdir()] == [file.name]
+    assert banned_in(file) == ["s-1", "s-2"] and [one.name for one in tmp_path.iterdir()] == [file.name]
     for end in range(len(complete)):
         file.write_bytes(complete[:end])
-        assert read_bans(file) == [], end
+        assert banned_in(file) == [], end
     file.write_bytes(complete.replace(b"s-1", b"s-3"))
-    assert read_bans(file) == []
+    assert banned_in(file) == []
 
 
 def test_failure_to_write_bans_is_only_logged(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
-    write_bans(tmp_path / "missing" / "n1.bans.json", ["s-1"])
+    write_state(tmp_path / "missing" / "n1.bans.json", OperatorState(banned=frozenset(["s-1"])))
     assert "bans_write_failed" in capsys.readouterr().out
 
 
@@ -212,4 +218,4 @@
         file = Path(program.folder.name, "t1.bans.json")
         assert not file.exists(), "writes to the disk fail at this time"
         await until(file.exists)
-        assert read_bans(file) == [f"s-{replica.port}"]
+        assert banned_in(file) == [f"s-{replica.port}"]
