Out of service holds for both processes of an upgrade

Cause: it was a variable of one process; only bans were shared.

A process that starts alone is in service.

--- a/lockspoke/lifecycle/composition.py
+++ b/lockspoke/lifecycle/composition.py
@@ -19,6 +19,7 @@
 from .operator_state_storage import OperatorStateStorage
 from .phases import ProgramState
 from .platform_discovery import PlatformDiscovery
+from .service_switch import ServiceSwitch
 from .subsystems import EndpointListSource, Subsystem, find_endpoint_list_source
 
 
@@ -87,9 +88,9 @@
     list_source.attach(core)
     clients = _client_front(config, core, state, per_side)
     operators = None
-    operator_state = OperatorStateStorage(operator_state_file, core)
+    operator_state = OperatorStateStorage(operator_state_file, core, ServiceSwitch(state, clients))
     if config.operator is not None:
-        operators = OperatorFront(OperatorCommands(state, clients, operator_state).execute)
+        operators = OperatorFront(OperatorCommands(state, operator_state).execute)
     for subsystem in subsystems:
         subsystem.attach(core, clients)
     return Gateway(
--- a/lockspoke/lifecycle/operator_commands.py
+++ b/lockspoke/lifecycle/operator_commands.py
@@ -4,12 +4,10 @@
 
 import structlog
 
-from lockspoke.wire.clients.admission import AdmissionMode
-from lockspoke.wire.clients.front import ClientFront
 from lockspoke.wire.http.messages import HttpError
 from lockspoke.wire.operators.api import OperatorCommand, OperatorRequest
 
-from .operator_state import BanChange
+from .operator_state import BanChange, Change, ServiceChange
 from .operator_state_storage import NotSharedError, OperatorStateStorage, UnknownReplicaError
 from .phases import ProgramState
 
@@ -19,11 +17,8 @@
 class OperatorCommands:
     """Executes operators' requests on one gateway."""
 
-    def __init__(
-        self, state: ProgramState, clients: ClientFront, operator_state: OperatorStateStorage
-    ) -> None:
+    def __init__(self, state: ProgramState, operator_state: OperatorStateStorage) -> None:
         self._state = state
-        self._clients = clients
         self._operator_state = operator_state
 
     async def execute(self, request: OperatorRequest) -> str:
@@ -34,7 +29,7 @@
             case OperatorCommand.OFFLINE | OperatorCommand.ONLINE:
                 await self._set_banned(request.uid, request.command is OperatorCommand.OFFLINE)
             case OperatorCommand.OUT_OF_SERVICE | OperatorCommand.IN_SERVICE:
-                self._set_out_of_service(request.command is OperatorCommand.OUT_OF_SERVICE)
+                await self._set_out_of_service(request.command is OperatorCommand.OUT_OF_SERVICE)
         log.info("operator_request", command=request.command.name.lower(), replica=request.uid)
         return "done"
 
@@ -45,16 +40,17 @@
 
     async def _set_banned(self, uid: str, banned: bool) -> None:
         try:
-            await self._operator_state.change(BanChange(uid, banned))
+            await self._change(BanChange(uid, banned))
         except UnknownReplicaError:
             raise HttpError(404, f"no list has named {uid[:200]}") from None
-        except NotSharedError as error:
-            raise HttpError(503, f"{error}; try again") from None
 
-    def _set_out_of_service(self, out_of_service: bool) -> None:
+    async def _set_out_of_service(self, out_of_service: bool) -> None:
         if self._state.is_stopping:
             raise HttpError(409, "the gateway is stopping")
-        self._state.out_of_service = out_of_service
-        self._clients.admission_mode = (
-            AdmissionMode.ACCEPT_AND_CLOSE if out_of_service else AdmissionMode.ACCEPT
-        )
+        await self._change(ServiceChange(out_of_service))
+
+    async def _change(self, change: Change) -> None:
+        try:
+            await self._operator_state.change(change)
+        except NotSharedError as error:
+            raise HttpError(503, f"{error}; try again") from None
--- a/lockspoke/lifecycle/operator_state.py
+++ b/lockspoke/lifecycle/operator_state.py
@@ -18,6 +18,16 @@
     banned: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceChange:
+    """An operator's call that takes the gateway out of service or back."""
+
+    out_of_service: bool
+
+
+Change = BanChange | ServiceChange
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorState:
     """What operators have set."""
@@ -25,9 +35,12 @@
     serial: int = 0  # The number of changes so far; 0 if that is not known.
     banned: frozenset[str] = frozenset()  # The uids of replicas that are offline.
     ended: frozenset[str] = frozenset()  # The uids of replicas that have been put back.
+    out_of_service: bool | None = None  # None if no operator has said so.
 
-    def after(self, change: BanChange) -> OperatorState:
+    def after(self, change: Change) -> OperatorState:
         """The state after a change."""
+        if isinstance(change, ServiceChange):
+            return replace(self, serial=self.serial + 1, out_of_service=change.out_of_service)
         uid = frozenset([change.uid])
         banned = self.banned | uid if change.banned else self.banned - uid
         ended = self.ended - uid if change.banned else self.ended | uid
@@ -40,4 +53,5 @@
             serial=max(self.serial, stored.serial),
             banned=stored.banned | (self.banned - stored.ended),
             ended=stored.ended | (self.ended - stored.banned),
+            out_of_service=(self.out_of_service if stored.out_of_service is None else stored.out_of_service),
         )
--- a/lockspoke/lifecycle/operator_state_file.py
+++ b/lockspoke/lifecycle/operator_state_file.py
@@ -1,4 +1,4 @@
-"""Reads and writes a file with operators' bans of replicas, which preserves them across an upgrade.
+"""Reads and writes a file with what operators have set, which preserves it across an upgrade.
 
 The platform keeps the folder only for the duration of an upgrade, so the file has only the current state. It
 is replaced atomically and has a checksum, so that a reader never uses an incomplete file.
@@ -33,6 +33,8 @@
     record: dict[str, Any] = {"version": VERSION, "uids": sorted(state.banned)}
     if state.serial:  # Earlier versions read the first two keys and ignore others.
         record |= {"serial": state.serial, "ended": sorted(state.ended)}
+    if state.out_of_service is not None:
+        record["out_of_service"] = state.out_of_service
     body = json.dumps(record)
     temporary = path.with_name(f".{path.name}.{os.getpid()}")
     try:
@@ -62,7 +64,12 @@
     if record.get("version") != VERSION:
         _log_unreadable(path, f"version {record.get('version')}, want {VERSION}")
         return None
-    return OperatorState(record.get("serial", 0), _uids(record["uids"]), _uids(record.get("ended", ())))
+    return OperatorState(
+        serial=record.get("serial", 0),
+        banned=_uids(record["uids"]),
+        ended=_uids(record.get("ended", ())),
+        out_of_service=record.get("out_of_service"),
+    )
 
 
 def _uids(values: list[Any]) -> frozenset[str]:
--- a/lockspoke/lifecycle/operator_state_storage.py
+++ b/lockspoke/lifecycle/operator_state_storage.py
@@ -15,9 +15,10 @@
 
 from lockspoke.core.core import Core
 
-from .operator_state import BanChange, OperatorState
+from .operator_state import BanChange, Change, OperatorState, ServiceChange
 from .operator_state_file import load_state, write_state
 from .process_group import GroupLockedError, ProcessGroup
+from .service_switch import ServiceSwitch
 
 RETRY_INTERVAL = 1.0  # Seconds after which a failed write is retried.
 POLL_INTERVAL = 0.05  # Seconds between two looks at the file; a ban is obeyed within 0.25 s.
@@ -43,12 +44,13 @@
 class OperatorStateStorage:
     """The part of one process in the state that it shares."""
 
-    def __init__(self, path: Path, core: Core) -> None:
+    def __init__(self, path: Path, core: Core, service: ServiceSwitch) -> None:
         self._path = path
         self._core = core
+        self._service = service
         self._group = ProcessGroup(path)
         self._state = OperatorState()  # As stored, as far as this process knows.
-        self._unsaved: list[BanChange] = []  # Changes in force here that could not be written.
+        self._unsaved: list[Change] = []  # Changes in force here that could not be written.
         self._retry_at = 0.0  # The monotonic time at which these are written again.
         self._signature: _Signature | None = None  # Of the file that was last read.
 
@@ -63,13 +65,28 @@
         A change that is made before it has joined is in the file that it reads next.
         """
         self._group.follow(self._state.serial)
-        self.follow_once()
+        self._read_changes()
+        if self._state.out_of_service and not self._followed_by_others():
+            self._end_out_of_service()
+        self._apply()
+        self._group.follow(self._state.serial)
+
+    def _end_out_of_service(self) -> None:
+        """Forget that a process which has ended was out of service: no operator has said so of this one."""
+        change = ServiceChange(out_of_service=False)
+        try:
+            with self._group.exclusively():
+                is_saved = self._save(change)
+        except (GroupLockedError, OSError):
+            is_saved = False
+        if not is_saved:
+            self._unsaved.append(change)
 
     def leave(self) -> None:
         """Let others no longer wait for this process."""
         self._group.leave()
 
-    async def change(self, change: BanChange) -> None:
+    async def change(self, change: Change) -> None:
         """Make a change; returns once all processes of this gateway obey it.
 
         Raises:
@@ -84,7 +101,7 @@
                 raise NotSharedError("another process of this gateway has not taken the change up yet")
             await asyncio.sleep(WAIT_INTERVAL)
 
-    async def _commit_in_turn(self, change: BanChange) -> None:
+    async def _commit_in_turn(self, change: Change) -> None:
         deadline = time.monotonic() + LOCK_TIMEOUT
         while True:
             try:
@@ -100,16 +117,19 @@
             else:
                 return
 
-    def _commit(self, change: BanChange) -> None:
+    def _commit(self, change: Change) -> None:
         """Make a change to the stored state; the lock of the group is held."""
         self._signature = None  # Whatever its signature is, the file is read.
         self._take_up_changes()
-        if not self._core.replica_set.is_known_or_banned(change.uid):
-            raise UnknownReplicaError(change.uid)
+        self._check_known(change)
         if not self._save(change):
-            self._keep_unsaved(change, "the file of bans cannot be written")
+            self._keep_unsaved(change, "the file that they share cannot be written")
 
-    def _save(self, *changes: BanChange) -> bool:
+    def _check_known(self, change: Change) -> None:
+        if isinstance(change, BanChange) and not self._core.replica_set.is_known_or_banned(change.uid):
+            raise UnknownReplicaError(change.uid)
+
+    def _save(self, *changes: Change) -> bool:
         state = self._state
         for change in (*self._unsaved, *changes):
             state = state.after(change)
@@ -121,10 +141,9 @@
         self._apply()
         return True
 
-    def _keep_unsaved(self, change: BanChange, reason: str) -> None:
+    def _keep_unsaved(self, change: Change, reason: str) -> None:
         """Obey a change that could not be stored, if there is no other process that has to know of it."""
-        if not self._core.replica_set.is_known_or_banned(change.uid):
-            raise UnknownReplicaError(change.uid)
+        self._check_known(change)
         if self._followed_by_others():
             raise NotSharedError(reason)
         self._unsaved.append(change)
@@ -196,6 +215,8 @@
                 self._core.replica_set.restore_bans([uid])  # It holds as soon as a list names the replica.
         for uid in current & state.ended:
             self._core.set_banned(uid, False)
+        if state.out_of_service is not None:
+            self._service.set_out_of_service(state.out_of_service)
 
     def _read_signature(self) -> _Signature | None:
         try:
--- a/tests/lifecycle/test_operator_state.py
+++ b/tests/lifecycle/test_operator_state.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lockspoke.lifecycle.operator_state import BanChange, OperatorState
+from lockspoke.lifecycle.operator_state import BanChange, OperatorState, ServiceChange
 from lockspoke.lifecycle.operator_state_file import load_state, write_state
 from lockspoke.lifecycle.process_group import GroupLockedError, ProcessGroup
 
@@ -48,6 +48,9 @@
     state = OperatorState().after(BanChange("s-1", banned=True)).after(BanChange("s-2", banned=False))
     assert write_state(tmp_path / "bans.json", state)
     assert load_state(tmp_path / "bans.json") == state
+    state = state.after(ServiceChange(out_of_service=True))
+    assert write_state(tmp_path / "bans.json", state)
+    assert load_state(tmp_path / "bans.json") == state
 
 
 def test_only_one_process_at_a_time_changes_what_the_group_shares(tmp_path: Path) -> None:
--- a/tests/wire/operators/test_upgrades.py
+++ b/tests/wire/operators/test_upgrades.py
@@ -13,7 +13,7 @@
 from lockspoke.lifecycle.operator_state import OperatorState
 from lockspoke.lifecycle.operator_state_file import write_state
 from tests.lifecycle.support import run
-from tests.standins import FakeReplica, Program
+from tests.standins import Client, FakeReplica, Program
 
 from .test_front import banned_in, send_command, send_requests
 
@@ -100,3 +100,45 @@
             assert len(one.seen) == before
         assert await send_command(program, f"replicas/s-{two.port}/offline") == 200
         assert banned_in(file) == sorted([f"s-{one.port}", f"s-{two.port}"])
+
+
+async def up_statuses(program: Program) -> set[int]:
+    """The answers to `GET /up` at the shared address, on so many connections that both processes get some."""
+    statuses = set()
+    for _ in range(24):
+        async with Client(program.port) as client:
+            statuses.add((await client.request(b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"))[0])
+    return statuses
+
+
+@run
+async def test_out_of_service_and_back_hold_for_both_processes() -> None:
+    """Guards against: the other process of an upgrade went on saying yes to `GET /up`."""
+    async with FakeReplica() as replica, Program(replica, operator=True) as old:
+        assert await send_command(old, "out-of-service") == 200
+        env = beside(old)
+        async with Program(replica, operator=True, env=env) as new:
+            assert await send_command(new, "ready", "GET") == 200
+            assert await up_statuses(old) == {503}, "a new version starts as the old one is"
+            assert await send_command(new, "in-service") == 200
+            assert await up_statuses(old) == {200}
+            assert await send_command(new, "out-of-service") == 200
+            assert await up_statuses(old) == {503}
+            assert await old.terminate() == 0
+            assert await up_statuses(new) == {503}
+
+
+@run
+async def test_a_process_that_starts_alone_is_in_service() -> None:
+    """What a killed process was told is not what operators have said of the next one."""
+    async with FakeReplica() as replica, Program(replica, operator=True) as first:
+        assert await send_command(first, "out-of-service") == 200
+        first.process.kill()
+        await first.process.wait()
+        async with Program(replica, operator=True, env={"TMPDIR": first.folder.name}) as second:
+            assert await send_command(second, "ready", "GET") == 200
+            assert await up_statuses(second) == {200}
+            third_env = beside(second) | {"TMPDIR": first.folder.name}
+            async with Program(replica, operator=True, env=third_env) as third:
+                assert await send_command(third, "ready", "GET") == 200
+                assert await up_statuses(second) == {200}
