An accepted mass removal is applied by both processes of an upgrade

Cause: the first process that read the acceptance deleted it.

Change: each process takes it once and says so in its member file, as for operators' calls; it is deleted once all have taken it.

--- a/lockspoke/inventory/source.py
+++ b/lockspoke/inventory/source.py
@@ -22,6 +22,7 @@
 from lockspoke.units import MILLISECOND
 
 from . import store
+from .acceptance import AcceptanceFile
 from .cache_writer import CacheWriter
 from .decision_log import DecisionLog
 from .decisions import KnownReplica, ReconcileResult
@@ -63,6 +64,7 @@
         self._watcher = FileWatcher(settings, self._executor)
         self._loader = SnapshotLoader(self._executor)
         self._decision_log = DecisionLog(clock_ms)
+        self._acceptance: AcceptanceFile | None = None  # None if no folder is set.
         self._cache_writer = CacheWriter(self._write_cache, self._executor)
         self._loaded: LoadedSnapshot | None = None
         self._is_unreconciled = False  # Whether the loaded snapshot has not been reconciled yet.
@@ -130,6 +132,7 @@
         if not enable:
             self._stop_tasks()
             return
+        self._join_acceptances()
         if self._task is None:
             self._task = asyncio.ensure_future(self._run())
             self._watcher.start()
@@ -138,6 +141,15 @@
                 self._loader.start_parser()
         asyncio.get_running_loop().call_soon(self._confirm)
 
+    def _join_acceptances(self) -> None:
+        """Take part in acceptances in the folder that is set now."""
+        folder = Path(self.settings.keep) if self.settings.keep else None
+        if self._acceptance is not None and self._acceptance.folder != folder:
+            self._acceptance.close()
+            self._acceptance = None
+        if self._acceptance is None and folder is not None:
+            self._acceptance = AcceptanceFile(folder)
+
     def _confirm(self) -> None:
         self._rev += 1
         self._listener.endpoint_list_changed(ReplicaListUpdate(self._rev, False, ()))
@@ -158,6 +170,7 @@
         self.settings = self._watcher.settings = settings
         self.reconciler.policy = settings.reconcile_policy()
         self.reconciler.accept(settings.guard.accept)
+        self._join_acceptances()
         if must_rewatch and self._task is not None:
             self._stop_tasks()
             self.watch(True)
@@ -171,6 +184,8 @@
     def close(self) -> None:
         """Stop all tasks and threads, and carry out a pending write before returning."""
         self._stop_tasks()
+        if self._acceptance is not None:
+            self._acceptance.close()
         self._loader.close()
         self._executor.shutdown(wait=True)
         self._cache_writer.flush()
@@ -270,11 +285,10 @@
 
     async def _apply_accepted_fingerprint(self) -> None:
         """Accept the mass removal whose fingerprint the command `lockspoke inventory accept` has written."""
-        if not self.settings.keep:
+        if self._acceptance is None:
             return
-        folder = Path(self.settings.keep)
         loop = asyncio.get_running_loop()
-        fingerprint = await loop.run_in_executor(self._executor, store.take_accepted_fingerprint, folder)
+        fingerprint = await loop.run_in_executor(self._executor, self._acceptance.take)
         if fingerprint:
             log.info("inventory_removal_accepted", fingerprint=fingerprint)
             self.reconciler.accept(fingerprint)
--- a/lockspoke/inventory/store.py
+++ b/lockspoke/inventory/store.py
@@ -101,14 +101,3 @@
     if len(data) > MAX_BYTES:
         raise CachedListError("the file is too large")
     return decode(data)
-
-
-def take_accepted_fingerprint(folder: Path) -> str:
-    """Read and remove the accept file of a folder; returns an empty text if there is none."""
-    path = folder / ACCEPT_NAME
-    try:
-        text = path.read_text()[:MAX_FINGERPRINT_CHARS].strip()
-        path.unlink()
-    except OSError:
-        return ""
-    return text
--- a/tests/inventory/test_source.py
+++ b/tests/inventory/test_source.py
@@ -335,6 +335,31 @@
         await until(decision_logged(program, "remove", "w7"))
 
 
+@run_in_folder
+async def test_an_acceptance_is_taken_by_both_processes_of_an_upgrade(folder: Path) -> None:
+    """Guards against: one process took the acceptance, and the other went on holding the hosts."""
+    path, keep = folder / "workers.csv", folder / "keep"
+    async with AsyncExitStack() as stack:
+        fleet = await start_replicas(stack, 8)
+        replace_file(path, csv_text(*fleet))
+        options = gateway_options(folder, keep=str(keep))
+        programs = [
+            await stack.enter_async_context(Program(options=options, operator=True)) for _ in range(2)
+        ]
+        replace_file(path, csv_text(*fleet[:4]))
+        for program in programs:
+            await until(decision_logged(program, "guard", ""))
+        status = keep / "inventory.status.json"
+        await until(lambda: status.exists() and json.loads(status.read_text())["guard"] is not None)
+        fingerprint = json.loads(status.read_text())["guard"]["accept"]
+        assert lockspoke(["inventory", "accept", fingerprint, "--keep", str(keep)]) == 0
+        for program in programs:
+            await until(decision_logged(program, "remove", "w7"))
+        await until(lambda: not (keep / "inventory.accept").exists())
+        for program in programs:
+            assert sum(line.get("event") == "inventory_removal_accepted" for line in program.logs) == 1
+
+
 @run_in_folder
 async def test_sighup_reloads_a_valid_edge_file_and_rejects_an_invalid_one(folder: Path) -> None:
     path = folder / "workers.csv"
