--- /dev/null
+++ b/bench/upgrade_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak test of operators' calls during upgrades."""
