A new version with the batch front starts beside the old one and takes its store over

Callers saw: an upgrade with [batch] ended with exit code 2, "another program uses this store", so the old version had to be stopped first, with interactive requests refused meanwhile.

Cause: a store that is in use ended the start.

Change: where the gateway has an address for operators it starts without the batch front, opens the store in a thread once it is free, and goes on as after a restart. batch/service.py is the part that works with an open store; batch/subsystem.py decides when there is one.

--- a/lockspoke/batch/journal.py
+++ b/lockspoke/batch/journal.py
@@ -30,6 +30,10 @@
     """The store cannot be read, or a record could not be written to it."""
 
 
+class StoreInUseError(StoreError):
+    """Another program uses the store."""
+
+
 def _encode_record(record: Record) -> bytes:
     text = encode_json(record)
     return b"%08x %b\n" % (zlib.crc32(text), text)
@@ -75,7 +79,7 @@
         """Open the file, creating it if needed, and lock it.
 
         Raises:
-            StoreError: Another program holds the lock.
+            StoreInUseError: Another program holds the lock.
         """
         self.path = path
         self.executor = executor
@@ -89,7 +93,7 @@
             fcntl.flock(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except OSError:
             os.close(self._descriptor)
-            raise StoreError(f"{path}: another program uses this store") from None
+            raise StoreInUseError(f"{path}: another program uses this store") from None
         # Whether the folder's entry of the file is on disk, as far as this process knows.
         self._is_entry_synced = False
 
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -36,7 +36,8 @@
                 to the next is recognized.
 
         Raises:
-            StoreError: The store is damaged or another program uses it.
+            StoreInUseError: Another program uses the store.
+            StoreError: The store is damaged.
         """
         self.now = now
         self.max_lines: int | None = None  # The limit on the lines of new batches, which is stored with them.
@@ -56,8 +57,12 @@
         # Batch ID and line number of each result that is being written.
         self._ending_lines: set[tuple[str, int]] = set()
         self.journal = Journal(folder / "journal.log", self.executor)
-        for offset, record in self.journal.load():
-            self._tables.apply(offset, record)
+        try:
+            for offset, record in self.journal.load():
+                self._tables.apply(offset, record)
+        except BaseException:
+            self.journal.close()  # Otherwise the lock would stay.
+            raise
         self._tables.follow_clock(self._clock)
         self.contents.remove_unreferenced(self.files, self._parts_of_pending_uploads())
 
--- a/lockspoke/batch/subsystem.py
+++ b/lockspoke/batch/subsystem.py
@@ -1,4 +1,4 @@
-"""The batch front as a subsystem of the program: connects the store, the runner and the front."""
+"""The batch front as a subsystem of the program: opens the store, or takes it over from an older version."""
 
 from __future__ import annotations
 
@@ -16,15 +16,14 @@
 from lockspoke.steady_unix_time import steady_unix_time
 from lockspoke.wire.clients.front import ClientFront
 
-from .front import BatchFront
-from .journal import StoreError
-from .lines import BatchLines
-from .runner import BatchRunner
+from .journal import StoreError, StoreInUseError
+from .service import BatchService
 from .settings import BatchSettings
 from .store import BatchStore
 
-EXPIRY_INTERVAL = 60.0  # seconds between two searches for expired uploads
 FIXED_SETTINGS = ("listen", "store", "connections", "token_env")  # Changing these requires a restart.
+TAKE_OVER_INTERVAL = 0.05  # seconds between two attempts to open a store that is in use
+TAKE_OVER_RETRY_INTERVAL = 1.0  # seconds after an attempt that failed for another reason
 
 log = structlog.get_logger()
 
@@ -43,17 +42,12 @@
     return gateway.classes[settings.kind]
 
 
-async def stop_batches(front: BatchFront, runner: BatchRunner, store: BatchStore) -> None:
-    """Start no more lines, store the results of those in flight, and close front and store."""
-    front.start_draining()
-    await runner.stop()
-    front.close()
-    await store.wait_until_idle()  # Interactive requests continue meanwhile.
-    store.close()
-
-
 class BatchSubsystem:
-    """Store, runner and front of the batch API."""
+    """The batch front, which serves once it has the store.
+
+    During an upgrade the old version has the store until it ends. The new one starts without the batch front
+    and takes the store over then.
+    """
 
     name = "batch"
     endpoint_list_source: EndpointListSource | None = None
@@ -66,25 +60,29 @@
         if settings.token_env and not self.token:
             raise ConfigError(f"batch.token_env names {settings.token_env}, which is not set")
         self.descriptors = settings.connections
+        self._service: BatchService | None = None  # None while another process has the store.
+        self._take_over: asyncio.Task[None] | None = None
 
     def attach(self, core: Core, clients: ClientFront) -> None:  # noqa: ARG002  Batches do not use the client front.
-        """Open the store and connect runner and front; raises ConfigError if the store cannot be opened."""
-        settings = self.settings
+        """Open the store and connect the parts; raises ConfigError if the store cannot be opened.
+
+        A store that is in use is an error only if this gateway cannot be a new version beside an old one,
+        which takes an address for operators.
+        """
+        self._core = core
         try:
-            self.store = BatchStore(Path(settings.store), steady_unix_time, read_boot_time())
+            self._service = self._create_service(self._open_store())
+        except StoreInUseError as error:
+            if self.gateway.operator is None:
+                raise ConfigError(f"batch.store: {error}") from None
         except (StoreError, OSError) as error:
             raise ConfigError(f"batch.store: {error}") from None
-        self.store.max_lines = settings.max_lines
-        first_token_timeout = self.gateway.deadlines[self.request_class]
-        self.lines = BatchLines(
-            self.store, settings.kind, self.request_class, first_token_timeout, settings.max_lines
-        )
-        self.runner = BatchRunner(
-            self.store, core, self.lines, settings.concurrency, settings.tries, steady_unix_time
-        )
-        self.front = BatchFront(
-            self.store, self.runner, settings.connections, settings.file_limit, self.token
-        )
+
+    def _open_store(self) -> BatchStore:
+        return BatchStore(Path(self.settings.store), steady_unix_time, read_boot_time())
+
+    def _create_service(self, store: BatchStore) -> BatchService:
+        return BatchService(store, self._core, self.settings, self.gateway, self.request_class, self.token)
 
     def prepare_reload(self, settings: BatchSettings, gateway: GatewayConfig) -> Callable[[], None]:
         """Check new settings; returns a function that applies them.
@@ -101,43 +99,60 @@
             self.settings = settings
             self.gateway = gateway
             self.request_class = request_class
-            self.lines.class_name = settings.kind
-            self.lines.request_class = request_class
-            self.lines.first_token_timeout = gateway.deadlines[request_class]
-            self.lines.max_lines = self.store.max_lines = settings.max_lines
-            self.runner.reconfigure(settings.concurrency, settings.tries)
-            self.front.limits.set_file_size(settings.file_limit)
+            if self._service is not None:
+                self._service.reconfigure(settings, gateway, request_class)
 
         return commit
 
     def start(self) -> None:
-        """Listen, and resume unfinished batches."""
-        host, port = self.front.listener.listen(self.settings.address)
-        log.info("batch_listening", host=host, port=port, batches=len(self.store.batches))
-        self.runner.start()
-        self._expiry = asyncio.ensure_future(self._expire_uploads())
-
-    async def _expire_uploads(self) -> None:
+        """Listen and resume unfinished batches, now or once another process has given up the store."""
+        if self._service is not None:
+            self._service.start(self.settings.address)
+            return
+        log.info("batch_store_in_use", store=self.settings.store)
+        self._take_over = asyncio.ensure_future(self._start_when_store_is_free())
+
+    async def _start_when_store_is_free(self) -> None:
+        service = self._create_service(await self._open_store_when_free())
+        # No other process has the store, so this one is responsible for it even if it cannot listen yet.
+        self._service = service
+        while True:
+            try:
+                service.start(self.settings.address)
+            except OSError as error:
+                log.error("batch_take_over_failed", error=str(error))
+                await asyncio.sleep(TAKE_OVER_RETRY_INTERVAL)
+            else:
+                return
+
+    async def _open_store_when_free(self) -> BatchStore:
         while True:
             try:
-                async with self.store.creation_lock:
-                    await self.store.expire_uploads()
-            except StoreError as error:
-                log.error("store_unavailable", error=str(error))
-            await asyncio.sleep(EXPIRY_INTERVAL)
+                # In a thread, because a long journal takes long to read.
+                return await asyncio.to_thread(self._open_store)
+            except StoreInUseError:
+                await asyncio.sleep(TAKE_OVER_INTERVAL)
+            except (StoreError, OSError) as error:
+                log.error("batch_take_over_failed", error=str(error))
+                await asyncio.sleep(TAKE_OVER_RETRY_INTERVAL)
 
     def run_periodic_checks(self) -> None:
         """Enforce the time limits and the maximum number of connections."""
-        self.front.run_periodic_checks()
+        if self._service is not None:
+            self._service.run_periodic_checks()
 
     def status(self) -> dict[str, Any]:
         """The number of batches and of connections."""
-        return {"batches": len(self.store.batches), "connections": len(self.front.listener.connections)}
+        if self._service is None:
+            return {"batches": 0, "connections": 0}
+        return self._service.status()
 
     async def drain(self) -> None:
         """Start no more lines, store the results of those in flight, and close everything."""
-        self._expiry.cancel()
-        await stop_batches(self.front, self.runner, self.store)
+        if self._take_over is not None:
+            self._take_over.cancel()
+        if self._service is not None:
+            await self._service.drain()
 
     def stop(self) -> None:
         """Do nothing: `drain` has closed everything."""
--- a/tests/batch/test_stop.py
+++ b/tests/batch/test_stop.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 
 from lockspoke.batch.front import BatchFront
-from lockspoke.batch.subsystem import stop_batches
+from lockspoke.batch.service import stop_batches
 
 from .gateway_probes import MAX_EVENT_DELAY
 from .harness import Harness
