A connection to a replica stands for the process and address that were dialled

Cause: a connection took its replica's address when it was up, not when its dial began, and was kept as one to the new address.

Change: the incarnation is fixed when the dial begins; a connection to another one is neither kept nor sent on, and its end says nothing of the new process.

--- a/lockspoke/wire/replicas/connection.py
+++ b/lockspoke/wire/replicas/connection.py
@@ -7,7 +7,7 @@
 from tornado.iostream import IOStream
 
 from lockspoke.balancing.events import ReplicaState
-from lockspoke.core.replica_set import Replica
+from lockspoke.core.replica_set import Incarnation, Replica
 from lockspoke.wire.tcp.read_ahead import ReadAhead
 
 
@@ -18,10 +18,18 @@
     on a connection that has carried a request cannot be told from the response to a second one.
     """
 
-    def __init__(self, replica: Replica, stream: IOStream) -> None:
+    def __init__(self, replica: Replica, incarnation: Incarnation, stream: IOStream) -> None:
+        """Wrap an open connection.
+
+        Args:
+            replica: The replica.
+            incarnation: The replica's process and address when the connection was dialled; it may have
+                moved or restarted since.
+            stream: The connection.
+        """
         super().__init__(stream)
         self.replica = replica
-        self.endpoint = replica.endpoint
+        self.incarnation = incarnation
         # When it was opened, by the event loop's clock. To the replica it has been idle since then.
         self.opened_at = asyncio.get_running_loop().time()
         self.idle_duration = 0.0  # For how many seconds it was kept before its attempt; 0 if it is new.
@@ -34,10 +42,10 @@
 
     @property
     def is_usable(self) -> bool:
-        """Whether the replica is ready at the same address, and the connection open without unread input."""
+        """Whether it leads to the replica's current process, which is ready, and has no unread input."""
         return (
             self.replica.state == ReplicaState.READY
-            and self.replica.endpoint == self.endpoint
+            and self.replica.incarnation == self.incarnation
             and not self.has_unread
         )
 
--- a/lockspoke/wire/replicas/connection_pool.py
+++ b/lockspoke/wire/replicas/connection_pool.py
@@ -58,12 +58,14 @@
             return connection
         if self.open_connections >= self._max_connections:
             self._evict()
-        if replica.endpoint is None:
+        incarnation = replica.incarnation  # The replica may move or restart during the dial.
+        if incarnation.endpoint is None:
             raise ConnectError
         self.open_connections += 1
         try:
             async with asyncio.timeout(self._connect_timeout):
-                return ReplicaConnection(replica, await self._dial(replica.endpoint))
+                stream = await self._dial(incarnation.endpoint)
+                return ReplicaConnection(replica, incarnation, stream)
         except BaseException as error:
             self.open_connections -= 1
             if isinstance(error, OSError | StreamClosedError | TimeoutError):
@@ -140,6 +142,8 @@
         replica = connection.replica
         if not connection.was_idle or replica.state == ReplicaState.REMOVED:
             return
+        if connection.incarnation != replica.incarnation:
+            return  # It says nothing of the replica's current process.
         self.close_idle(replica)
         idle_timeout = self._learned_idle_timeouts.get(replica.number, self.keep_alive.max_idle_timeout)
         self._learned_idle_timeouts[replica.number] = max(
--- a/lockspoke/wire/replicas/transport.py
+++ b/lockspoke/wire/replicas/transport.py
@@ -103,7 +103,7 @@
         released = False
         try:
             attempt.connection_was_idle = connection.was_idle
-            if not await _wait_for_permission(attempt):
+            if not await _may_send(connection, attempt):
                 self.pool.release_unused(connection)
                 released = True
                 return
@@ -138,6 +138,15 @@
         attempt.end(Outcome.RESET)
 
 
+async def _may_send(connection: ReplicaConnection, attempt: Attempt) -> bool:
+    """Wait until the attempt may send its first byte on this connection; return False if it ends before."""
+    if connection.incarnation != attempt.replica_incarnation:
+        # The replica moved or restarted between the decision on the attempt and the dial.
+        attempt.end(Outcome.NEVER_SENT)
+        return False
+    return await _wait_for_permission(attempt)
+
+
 async def _wait_for_permission(attempt: Attempt) -> bool:
     """Wait until the attempt may send its first byte; return False if it ends before that."""
     while True:
