A drain in an inventory is not put off with the host's change of address

Cause: the whole row was put off; only a wrong row had its drain taken out.

Change: Target.defer keeps the record of a host but for a drain that its row requests, for all three reasons.

--- a/lockspoke/inventory/address_conflicts.py
+++ b/lockspoke/inventory/address_conflicts.py
@@ -36,11 +36,12 @@
         if not _changes_address(moving_host, targets, known):
             current_host, moving_host = conflict
         reason = f"its address is still held by {current_host}"
-        replica = known.get(moving_host)
+        replica, moving = known.get(moving_host), targets[moving_host].record
         if replica is None:
             targets[moving_host] = Target(Action.KEEP_OUT, None, reason)
         else:
-            targets[moving_host] = Target.defer(replica.record, reason)
+            requested_state = moving.state if moving is not None else None
+            targets[moving_host] = Target.defer(replica.record, reason, requested_state)
 
 
 def _find_conflict(
--- a/lockspoke/inventory/decisions.py
+++ b/lockspoke/inventory/decisions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from lockspoke.core.replica_set import EndpointListReplica
@@ -84,8 +84,14 @@
     hold_reason: str = ""
 
     @classmethod
-    def defer(cls, record: ReplicaRecord, reason: str) -> Target:
-        """A target with which the host keeps its record."""
+    def defer(cls, record: ReplicaRecord, reason: str, requested_state: str | None = None) -> Target:
+        """A target with which the host keeps its record; only a drain that its row requests is not put off.
+
+        A draining host gets no new requests, so the other values of its row don't matter.
+        """
+        if requested_state == "draining" and record.state == "up":
+            draining = replace(record, state="draining")
+            return cls(Action.DRAIN, draining, "from up to draining", hold_reason=reason)
         return cls(Action.HOLD, record, reason, hold_reason=reason)
 
 
--- a/lockspoke/inventory/reconciler.py
+++ b/lockspoke/inventory/reconciler.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from lockspoke.balancing.events import ReplicaState
 from lockspoke.core.replica_set import EndpointListReplica
@@ -133,7 +133,7 @@
         if record.address != known.record.address:
             if self._is_damped(name, now_ms):
                 reason = "it moves to and fro; it stays where it was until that has calmed down"
-                return Target.defer(known.record, reason)
+                return Target.defer(known.record, reason, record.state)
             old, new = (f"{host}:{port}" for host, port in (known.record.address, record.address))
             return Target(Action.CHANGE, record, f"moves from {old} to {new}")
         if record.state != known.record.state:
@@ -280,11 +280,7 @@
     requested_state = snapshot.requested_states.get(name)
     if requested_state == "removed":
         return Target(Action.REMOVE, None, _REMOVED_BY_FILE)
-    if requested_state == "draining" and record.state == "up":
-        # A draining host gets no new requests, so the other values of its row don't matter.
-        draining = replace(record, state="draining")
-        return Target(Action.DRAIN, draining, "from up to draining", hold_reason=reason)
-    return Target.defer(record, reason)
+    return Target.defer(record, reason, requested_state)
 
 
 def _entry(known: KnownReplica) -> EndpointListReplica:
--- a/tests/inventory/test_reconciler.py
+++ b/tests/inventory/test_reconciler.py
@@ -249,6 +249,41 @@
     assert not result.entries and actions(result) == {"w3": Action.HOLD}
 
 
+def w5_at(last_number: int, state: str = "up") -> Snapshot:
+    return snapshot(*rows(4), f"w5,10.0.0.{last_number},gen-a,{state}")
+
+
+def test_a_drain_is_not_put_off_by_a_change_of_address_that_is() -> None:
+    """Guards against: the drain of a host that moves to and fro was put off with its move."""
+    reconciler, now = started_reconciler(5, flap_penalty_limit=4.0), 0
+    for step in range(6):
+        now += 1_000
+        reconciler.reconcile(w5_at(50 + step % 2), now)
+    assert "to and fro" in reconciler.known["w5"].hold_reason
+    kept = reconciler.known["w5"].record.host
+    other = "60"
+    result = reconciler.reconcile(w5_at(int(other), "draining"), now + 1_000)
+    assert actions(result)["w5"] is Action.DRAIN
+    assert [(entry.uid, entry.state) for entry in result.entries] == [("w5", ReplicaState.DRAINING)]
+    assert reconciler.known["w5"].record.host == kept, "its move is still put off"
+    assert not reconciler.reconcile(w5_at(int(other), "draining"), now + 2_000).entries
+    assert result.wake_ms is not None
+    calm = reconciler.reconcile(w5_at(int(other), "up"), now + 3_600_000)
+    assert [(entry.state, entry.endpoint) for entry in calm.entries] == [
+        (ReplicaState.READY, ("10.0.0.60", 5000))
+    ]
+
+
+def test_a_drain_is_not_put_off_by_another_host_at_its_new_address() -> None:
+    reconciler = started_reconciler(5)
+    # The row of w1 is wrong, so it keeps its address, to which w5 would move.
+    conflict = snapshot("w1,nowhere,gen-a,up", *rows(4, 1), "w5,10.0.0.1,gen-a,draining")
+    result = reconciler.reconcile(conflict, 10)
+    assert reconciler.known["w5"].record.host == "10.0.0.5"
+    assert reconciler.known["w5"].record.state == "draining"
+    assert ("w5", ReplicaState.DRAINING) in [(entry.uid, entry.state) for entry in result.entries]
+
+
 def test_flapping_host_is_kept_out_longer_each_time() -> None:
     reconciler, now, delays = started_reconciler(5), 0, []
     for _ in range(12):
