Names of the upgrade soak and of accepted removals

What the project's list of names asks for: suspended in place of held up, remaining in place of left, accepted in place of taken. Nothing else has changed.

--- a/bench/upgrade_soak/__main__.py
+++ b/bench/upgrade_soak/__main__.py
@@ -34,9 +34,9 @@
         found = [repr(error)]
     counts = Counter(_outcome(call) for calls in soak.observations.calls.values() for call in calls)
     outcomes.update(counts)
-    held = ", a process held up" if schedule.holds else ""
+    suspension = ", a process suspended" if schedule.suspends else ""
     outcome = "FAILED" if found else "passed"
-    print(f"seed {seed}: {outcome}; {schedule.ending}{held}; {dict(counts)}", flush=True)
+    print(f"seed {seed}: {outcome}; {schedule.ending}{suspension}; {dict(counts)}", flush=True)
     for violation in found[:MAX_PRINTED]:
         print(f"  {violation}", flush=True)
     return bool(found)
--- a/bench/upgrade_soak/run.py
+++ b/bench/upgrade_soak/run.py
@@ -1,4 +1,4 @@
-"""One upgrade under load: two processes of a gateway, operators' calls at both, and one process left."""
+"""One upgrade under load: two processes of a gateway, operators' calls at both, and one that remains."""
 
 from __future__ import annotations
 
@@ -24,9 +24,9 @@
 BURST_INTERVAL = 0.1  # seconds between the moments at which calls about several subjects are made at once
 MAX_OVERLAP = 1.2  # seconds for which both processes serve
 START_TIME = 0.5  # seconds that the new process takes to start, about
-CALLS_AFTER_END = 0.3  # seconds for which calls go on once one process is left
+CALLS_AFTER_END = 0.3  # seconds for which calls go on once only one process runs
 REQUESTS_AFTER_CALLS = 1.0  # seconds for which requests go on while nobody calls
-HOLD_TIME = 0.15  # seconds for which a process is held up
+SUSPENSION_TIME = 0.15  # seconds
 STOP_TIMEOUT = 3.7  # seconds from SIGTERM to SIGKILL
 CALL_DEADLINE = 5.0  # seconds after which the bench gives a call up
 UP_REQUEST = b"GET /up HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -47,7 +47,7 @@
     ending: Ending
     lead: float  # seconds from the first call to the start of the new process
     overlap: float  # seconds from then on until one process ends
-    holds: bool  # whether processes are held up
+    suspends: bool  # whether a process is suspended for a moment
 
 
 def draw_schedule(seed: int) -> Schedule:
@@ -102,14 +102,14 @@
             env = {"NODE_LISTEN": f"127.0.0.1:{old.port}", "TMPDIR": old.folder.name}
             new = await stack.enter_async_context(Program(*replicas, operator=True, env=env))
             await self._add(new)
-            left = await self._end_one(old, new)
+            remaining = await self._end_one(old, new)
             await asyncio.sleep(CALLS_AFTER_END)
             self._calls_end.set()
             await asyncio.gather(*operators)
             await asyncio.sleep(REQUESTS_AFTER_CALLS)
             self._requests_end.set()
             await asyncio.gather(*clients)
-            await self._read_end(left, Path(old.folder.name, "t1.bans.json"))
+            await self._read_end(remaining, Path(old.folder.name, "t1.bans.json"))
         return self.observations
 
     async def _add(self, program: Program) -> None:
@@ -118,26 +118,26 @@
         self._running.append(program)
 
     async def _end_one(self, old: Program, new: Program) -> Program:
-        """End one process; returns the one that is left."""
-        if self._schedule.holds:
-            await self._hold_up(random.Random(f"{self._seed}:holds").choice([old, new]))
+        """End one process; returns the one that remains."""
+        if self._schedule.suspends:
+            await self._suspend(random.Random(f"{self._seed}:suspension").choice([old, new]))
         await asyncio.sleep(self._schedule.overlap)
         if self._schedule.ending is Ending.OLD_STOPPED:
             old.process.terminate()
             with suppress(TimeoutError):
                 await asyncio.wait_for(old.process.wait(), STOP_TIMEOUT)
-        ended, left = (new, old) if self._schedule.ending is Ending.NEW_KILLED else (old, new)
+        ended, remaining = (new, old) if self._schedule.ending is Ending.NEW_KILLED else (old, new)
         if ended.process.returncode is None:
             ended.process.kill()
         code = await ended.process.wait()
         if self._schedule.ending is Ending.OLD_STOPPED and code != 0:
             self.observations.faults.append(f"the old process ended with {code}")
         self._running.remove(ended)
-        return left
+        return remaining
 
-    async def _hold_up(self, program: Program) -> None:
+    async def _suspend(self, program: Program) -> None:
         program.process.send_signal(signal.SIGSTOP)
-        await asyncio.sleep(HOLD_TIME)
+        await asyncio.sleep(SUSPENSION_TIME)
         program.process.send_signal(signal.SIGCONT)
 
     async def _send_requests(self, port: int) -> None:
@@ -189,12 +189,14 @@
             await client.__aexit__()
         return Call(takes_out, started_at, time.monotonic(), status)
 
-    async def _read_end(self, left: Program, file: Path) -> None:
+    async def _read_end(self, remaining: Program, file: Path) -> None:
         state = load_state(file)
         banned = state.banned if state is not None else frozenset()
         out = {uid: uid in banned for uid in self.observations.requests}
-        async with Client(left.port) as client:
+        async with Client(remaining.port) as client:
             out[GATEWAY] = (await client.request(UP_REQUEST))[0] != 200
         self.observations.out_at_end = out
-        if left.process.returncode is not None:
-            self.observations.faults.append(f"the process that is left ended with {left.process.returncode}")
+        if remaining.process.returncode is not None:
+            self.observations.faults.append(
+                f"the process that remains ended with {remaining.process.returncode}"
+            )
--- a/lockspoke/inventory/acceptance.py
+++ b/lockspoke/inventory/acceptance.py
@@ -14,7 +14,7 @@
 
 from .store import ACCEPT_NAME, MAX_FINGERPRINT_CHARS
 
-NOT_TAKEN = 0  # The number of no acceptance.
+NOTHING_ACCEPTED = 0  # The number of no acceptance.
 
 
 class AcceptanceFile:
@@ -30,8 +30,8 @@
         self.folder = folder
         self._path = folder / ACCEPT_NAME
         self._group = ProcessGroup(self._path)
-        self._taken = NOT_TAKEN
-        self._group.follow(NOT_TAKEN)
+        self._accepted_at = NOTHING_ACCEPTED
+        self._group.follow(NOTHING_ACCEPTED)
 
     def take(self) -> str:
         """Return the fingerprint of an acceptance that is new to this process; empty if there is none."""
@@ -41,15 +41,15 @@
                 fingerprint = file.read(MAX_FINGERPRINT_CHARS).strip()
         except OSError:
             return ""
-        is_new = written_at != self._taken
-        self._taken = written_at
+        is_new = written_at != self._accepted_at
+        self._accepted_at = written_at
         self._group.follow(written_at)
-        self._delete_if_taken_by_all()
+        self._delete_if_read_by_all()
         return fingerprint if is_new else ""
 
-    def _delete_if_taken_by_all(self) -> None:
+    def _delete_if_read_by_all(self) -> None:
         with suppress(OSError):  # The next call tries again.
-            if all(taken == self._taken for taken in self._group.followed_by_others()):
+            if all(followed == self._accepted_at for followed in self._group.followed_by_others()):
                 self._path.unlink()
 
     def close(self) -> None:
--- a/lockspoke/lifecycle/operator_state_storage.py
+++ b/lockspoke/lifecycle/operator_state_storage.py
@@ -93,7 +93,7 @@
             UnknownReplicaError: No list has named the replica.
             NotSharedError: Another process does not know of the change. It may be made again.
         """
-        await self._commit_in_turn(change)
+        await self._commit_when_unlocked(change)
         deadline = time.monotonic() + FOLLOW_TIMEOUT
         serial = self._state.serial
         while any(followed < serial for followed in self._followed_by_others()):
@@ -101,7 +101,7 @@
                 raise NotSharedError("another process of this gateway has not taken the change up yet")
             await asyncio.sleep(WAIT_INTERVAL)
 
-    async def _commit_in_turn(self, change: Change) -> None:
+    async def _commit_when_unlocked(self, change: Change) -> None:
         deadline = time.monotonic() + LOCK_TIMEOUT
         while True:
             try:
