Operators' calls are refused while the shared folder cannot be read

Cause: a failed read of the folder or of the state file had the same result as nothing to read. A process took itself for alone and answered with yes; it wrote its own state over one that it could not read; at its start it ended another process's "out of service"; a member with a full disk was unknown.

Change: NotSharedError (503) if other processes cannot be listed; no write over an unread file; a leftover "out of service" is forgotten only once it is known that its process has ended; a member's file is published before its number is written, and counts as "nothing followed" until then.

--- a/lockspoke/lifecycle/operator_state_file.py
+++ b/lockspoke/lifecycle/operator_state_file.py
@@ -47,22 +47,26 @@
 
 
 def load_state(path: Path) -> OperatorState | None:
-    """Return the state; None if there is no file or if it is invalid, which is logged."""
+    """Return the state; None if there is no file or if it is invalid, which is logged.
+
+    Raises:
+        OSError: The file cannot be read.
+    """
     try:
         text = path.read_text()
     except FileNotFoundError:
         return None
-    except (OSError, ValueError) as error:
-        _log_unreadable(path, str(error))
+    except ValueError as error:
+        _log_invalid(path, str(error))
         return None
     checksum, _, line = text.partition(" ")
     body = line.removesuffix("\n")
     if not body or body == line or _checksum(body) != checksum:
-        _log_unreadable(path, "it is cut or changed; delete it")
+        _log_invalid(path, "it is cut or changed; delete it")
         return None
     record = json.loads(body)
     if record.get("version") != VERSION:
-        _log_unreadable(path, f"version {record.get('version')}, want {VERSION}")
+        _log_invalid(path, f"version {record.get('version')}, want {VERSION}")
         return None
     return OperatorState(
         serial=record.get("serial", 0),
@@ -80,5 +84,5 @@
     return f"{zlib.crc32(body.encode()):08x}"
 
 
-def _log_unreadable(path: Path, reason: str) -> None:
+def _log_invalid(path: Path, reason: str) -> None:
     log.error("bans_read_failed", file=str(path), reason=reason)
--- a/lockspoke/lifecycle/operator_state_storage.py
+++ b/lockspoke/lifecycle/operator_state_storage.py
@@ -53,6 +53,8 @@
         self._unsaved: list[Change] = []  # Changes in force here that could not be written.
         self._retry_at = 0.0  # The monotonic time at which these are written again.
         self._signature: _Signature | None = None  # Of the file that was last read.
+        self._read_failed = False  # Whether the last read did; only the first failure is logged.
+        self._may_be_left_over = True  # Whether a process that has ended may have been out of service.
 
     def restore(self) -> None:
         """Restore the bans of an earlier process; to be called before the first list is applied."""
@@ -66,13 +68,26 @@
         """
         self._group.follow(self._state.serial)
         self._read_changes()
-        if self._state.out_of_service and not self._followed_by_others():
-            self._end_out_of_service()
+        self._forget_left_over()
         self._apply()
         self._group.follow(self._state.serial)
 
+    def _forget_left_over(self) -> None:
+        """Forget that a process which has ended was out of service: no operator has said so of this one.
+
+        Until it is known whether that process has ended, this one is out of service as well.
+        """
+        if self._read_failed:
+            return
+        try:
+            others = self._group.followed_by_others()
+        except OSError:
+            return
+        self._may_be_left_over = False
+        if self._state.out_of_service and not others:
+            self._end_out_of_service()
+
     def _end_out_of_service(self) -> None:
-        """Forget that a process which has ended was out of service: no operator has said so of this one."""
         change = ServiceChange(out_of_service=False)
         try:
             with self._group.exclusively():
@@ -93,14 +108,23 @@
             UnknownReplicaError: No list has named the replica.
             NotSharedError: Another process does not know of the change. It may be made again.
         """
+        if isinstance(change, ServiceChange):
+            self._may_be_left_over = False
         await self._commit_when_unlocked(change)
         deadline = time.monotonic() + FOLLOW_TIMEOUT
-        serial = self._state.serial
-        while any(followed < serial for followed in self._followed_by_others()):
-            if time.monotonic() >= deadline:
-                raise NotSharedError("another process of this gateway has not taken the change up yet")
+        while True:
+            try:
+                return self._check_followed(self._state.serial)
+            except NotSharedError:
+                if time.monotonic() >= deadline:
+                    raise
             await asyncio.sleep(WAIT_INTERVAL)
 
+    def _check_followed(self, serial: int) -> None:
+        """Raise NotSharedError unless all other processes have followed the changes up to this one."""
+        if any(followed < serial for followed in self._followed_by_others()):
+            raise NotSharedError("another process of this gateway has not taken the change up yet")
+
     async def _commit_when_unlocked(self, change: Change) -> None:
         deadline = time.monotonic() + LOCK_TIMEOUT
         while True:
@@ -137,7 +161,7 @@
             return False
         self._state = state
         self._unsaved.clear()
-        self._signature = self._read_signature()
+        self._signature = None  # Reading the file again changes nothing.
         self._apply()
         return True
 
@@ -151,11 +175,15 @@
         self._apply()
 
     def _followed_by_others(self) -> list[int]:
+        """What each other process has followed.
+
+        Raises:
+            NotSharedError: That cannot be read, so there may be another process.
+        """
         try:
             return self._group.followed_by_others()
         except OSError as error:
-            log.error("bans_read_failed", file=str(self._path.parent), reason=str(error))
-            return []
+            raise NotSharedError(f"other processes of this gateway cannot be looked up: {error}") from error
 
     def run_periodic_checks(self) -> None:
         """Retry a failed write when it is due."""
@@ -177,28 +205,53 @@
 
     def follow_once(self) -> None:
         """Apply what another process has written, and tell it so."""
-        self._take_up_changes()
+        if self._read_changes():
+            self._apply_changes()
+        if self._may_be_left_over:
+            self._forget_left_over()
         self._group.follow(self._state.serial)
 
-    def _take_up_changes(self) -> None:
-        if not self._read_changes():
-            return
+    def _apply_changes(self) -> None:
         before = self._core.replica_set.banned
         self._apply()
         after = self._core.replica_set.banned
         if after != before:
             log.info("bans_applied", given=len(after - before), ended=len(before - after))
 
+    def _take_up_changes(self) -> None:
+        """Apply what another process has written, before a change is made to it.
+
+        Raises:
+            OSError: The file cannot be read, so what is in it would be lost by writing it.
+        """
+        if self._load_if_replaced():
+            self._apply_changes()
+
     def _read_changes(self) -> bool:
+        """Like `_load_if_replaced`, but a file that cannot be read changes nothing for now."""
+        try:
+            is_replaced = self._load_if_replaced()
+        except OSError as error:
+            if not self._read_failed:
+                log.error("bans_read_failed", file=str(self._path), reason=str(error))
+            self._read_failed = True
+            return False
+        self._read_failed = False
+        return is_replaced
+
+    def _load_if_replaced(self) -> bool:
         """Update the state if the file has been replaced since it was last read; returns whether it was.
 
-        A file that is missing or cannot be read changes nothing.
+        A file that is missing or invalid changes nothing.
+
+        Raises:
+            OSError: The file cannot be read.
         """
-        signature = self._read_signature()
+        signature = _read_signature(self._path)
         if signature is None or signature == self._signature:
             return False
-        self._signature = signature
         stored = load_state(self._path)
+        self._signature = signature
         if stored is None:
             return False
         self._state = self._state.updated_by(stored)
@@ -218,9 +271,11 @@
         if state.out_of_service is not None:
             self._service.set_out_of_service(state.out_of_service)
 
-    def _read_signature(self) -> _Signature | None:
-        try:
-            status = os.stat(self._path)
-        except OSError:
-            return None
-        return status.st_ino, status.st_size, status.st_mtime_ns
+
+def _read_signature(path: Path) -> _Signature | None:
+    """Return the signature of a file; None if there is none."""
+    try:
+        status = os.stat(path)
+    except FileNotFoundError:
+        return None
+    return status.st_ino, status.st_size, status.st_mtime_ns
--- a/lockspoke/lifecycle/process_group.py
+++ b/lockspoke/lifecycle/process_group.py
@@ -16,6 +16,7 @@
 
 SERIAL_DIGITS = 20  # Of the number in a member's file, which is overwritten in place.
 MEMBER_SUFFIX = ".member"
+NOTHING_FOLLOWED = -1  # The number of a member that has not followed any change.
 
 log = structlog.get_logger()
 
@@ -36,7 +37,7 @@
         self._name = shared_file.name
         self._own_path = self._member_path(os.getpid())
         self._descriptor: int | None = None  # Of the own file; None if this process has not joined.
-        self._followed = -1  # The number in the own file.
+        self._followed = NOTHING_FOLLOWED  # The number in the own file.
         self._failed = False  # Whether the last write of the own file did; only the first failure is logged.
 
     def _member_path(self, process_id: int) -> Path:
@@ -65,15 +66,15 @@
     def follow(self, serial: int) -> None:
         """Join the group if that has not been done, and say that changes up to this one are followed.
 
-        A failure is logged; the next call tries again.
+        A failure is logged; the next call tries again. A member whose file cannot be written is seen as one
+        that has not followed any change.
         """
         if serial == self._followed:
             return
         try:
             if self._descriptor is None:
-                self._descriptor = self._create_own_file(serial)
-            else:
-                os.pwrite(self._descriptor, _encode(serial), 0)
+                self._descriptor = self._create_own_file()
+            os.pwrite(self._descriptor, _encode(serial), 0)
         except OSError as error:
             if not self._failed:
                 log.error("member_file_failed", file=str(self._own_path), reason=str(error))
@@ -81,13 +82,12 @@
             return
         self._followed, self._failed = serial, False
 
-    def _create_own_file(self, serial: int) -> int:
+    def _create_own_file(self) -> int:
         # Under another name until it is locked, as others delete member files that nobody has locked.
         temporary = self._own_path.with_name(f".{self._own_path.name}")
         descriptor = os.open(temporary, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
         try:
             fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            os.pwrite(descriptor, _encode(serial), 0)
             temporary.replace(self._own_path)
         except OSError:
             os.close(descriptor)
@@ -105,7 +105,7 @@
         """The number of the last change that each other process has followed.
 
         Raises:
-            OSError: The folder cannot be read.
+            OSError: The folder or a file in it cannot be read.
         """
         prefix = f"{self._name}."
         found = []
@@ -127,7 +127,7 @@
     try:
         fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
     except BlockingIOError:
-        return int(os.pread(descriptor, SERIAL_DIGITS, 0))
+        return int(os.pread(descriptor, SERIAL_DIGITS, 0) or NOTHING_FOLLOWED)
     else:
         path.unlink(missing_ok=True)
         return None
