Folders and links that are swapped are noticed as renamed files are

Cause: the watch was on the folders found at its start. After a folder or a link above it was swapped it stayed on the old one, and changes were noticed by polling only (1 s by default), for good.

Change: inventory/watched_folders.py also names the folders that hold a watched one or a link on the way to it, for just these names; the watch begins anew when a folder is another one, at the latest with the next poll. A folder that is still empty is watched. A failed watch is set up again after 0.1 s first.

--- a/lockspoke/cli/inventory_gateway.py
+++ b/lockspoke/cli/inventory_gateway.py
@@ -16,12 +16,13 @@
 
 from lockspoke.inventory import reports, store
 from lockspoke.inventory.decisions import Decision
-from lockspoke.inventory.files import file_signature, watched_folders
+from lockspoke.inventory.files import file_signature
 from lockspoke.inventory.model import ReplicaRecord
 from lockspoke.inventory.parse_cache import ParseCache
 from lockspoke.inventory.problems import Problem
 from lockspoke.inventory.reconciler import Reconciler
 from lockspoke.inventory.store import ACCEPT_NAME, STATUS_NAME
+from lockspoke.inventory.watched_folders import WatchedFolders
 
 from .inventory_options import InventoryReader, inventory_reader, paths_argument, reading_options
 from .output import console, print_decisions, print_replicas, problem_style, source_texts
@@ -134,7 +135,7 @@
         return 0
     # File notifications start only with the first wait; polling finds changes made before that.
     for _ in watch_files(
-        *watched_folders(paths),
+        *WatchedFolders(paths).by_path,
         step=NOTIFICATION_STEP_MS,
         debounce=NOTIFICATION_DEBOUNCE_MS,
         recursive=False,
--- a/lockspoke/inventory/file_watcher.py
+++ b/lockspoke/inventory/file_watcher.py
@@ -12,15 +12,21 @@
 from pathlib import Path
 
 import structlog
-from watchfiles import awatch
+from watchfiles import Change, awatch
 
 from .file_signature import FileSignature
-from .files import file_signature, watched_folders
+from .files import file_signature
 from .settings import InventorySettings
 from .settling import SettlingFiles
+from .store import ACCEPT_NAME
+from .watched_folders import WatchedFolders
 
 NOTIFICATION_STEP_MS = 5  # Changes within this time of each other give one notification.
-NOTIFICATION_RETRY_SECONDS = 5.0  # After this time failed notifications are set up again.
+FIRST_RETRY_SECONDS = 0.1  # After this time failed notifications are set up again: a folder may be back.
+NEXT_RETRY_SECONDS = 5.0  # The time between further attempts.
+MIN_FOLDER_CHECK_SECONDS = (
+    1.0  # At least this time is between two looks at the folders without a notification.
+)
 MISSING_FILE_POLL_SECONDS = 0.02
 MAX_SETTLE_SECONDS = 10.0  # After this time a file is read even if it is still being written.
 MAX_FILES_STATTED_INLINE = 50  # With more files, `stat` is called in a thread.
@@ -119,35 +125,39 @@
                     log.warning(
                         "inventory_file_watch_failing", reason=str(error), poll_interval=self.settings.poll
                     )
+                delay = NEXT_RETRY_SECONDS if self._failure_logged else FIRST_RETRY_SECONDS
                 self._failure_logged = True
-                await asyncio.sleep(NOTIFICATION_RETRY_SECONDS)
+                await asyncio.sleep(delay)
 
     async def _watch_folders(self) -> None:
-        """Watch the folders that exist; returns when another one appears or watching is stopped."""
-        folders = await self._existing_folders()
+        """Watch the folders that exist; returns when these are others or watching is stopped."""
+        folders = await self._find_folders()
+        if not folders.by_path:
+            raise OSError("none of the folders exists")
+
+        def concerns(_change: Change, path: str) -> bool:
+            return folders.concerns(path)
+
         self.changed.set()  # Files may have changed before the watch began.
-        async for _ in awatch(
-            *folders,
+        async for changes in awatch(
+            *folders.by_path,
+            watch_filter=concerns,
             debounce=NOTIFICATION_STEP_MS,
             step=NOTIFICATION_STEP_MS,
             stop_event=self._stop,
+            rust_timeout=round(max(self.settings.poll, MIN_FOLDER_CHECK_SECONDS) * 1000),
+            yield_on_timeout=True,
             recursive=False,
             ignore_permission_denied=True,
         ):
-            self._failure_logged = False
-            self.changed.set()
-            if set(await self._source_folders()) - set(folders):
+            if changes:
+                self._failure_logged = False
+                self.changed.set()
+            if await self._find_folders() != folders:
                 return
 
-    async def _existing_folders(self) -> list[Path]:
+    async def _find_folders(self) -> WatchedFolders:
         """The folders of the files, and the folder in which the command line writes the accept file."""
-        folders = await self._source_folders()
-        if self.settings.keep and Path(self.settings.keep).is_dir():  # noqa: ASYNC240 - one stat, local disk
-            folders.append(Path(self.settings.keep))
-        if not folders:
-            raise OSError("none of the folders exists")
-        return folders
-
-    async def _source_folders(self) -> list[Path]:
+        accept_files = [Path(self.settings.keep, ACCEPT_NAME)] if self.settings.keep else []
         loop = asyncio.get_running_loop()
-        return await loop.run_in_executor(self._executor, watched_folders, self.paths)
+        return await loop.run_in_executor(self._executor, WatchedFolders, self.paths, accept_files)
--- a/lockspoke/inventory/files.py
+++ b/lockspoke/inventory/files.py
@@ -1,4 +1,4 @@
-"""Finds and reads the files of an inventory, computes their signature, and names the folders to watch."""
+"""Finds and reads the files of an inventory, computes their signature, and names their folders."""
 
 from __future__ import annotations
 
@@ -60,12 +60,14 @@
                 yield file
 
 
-def watched_folders(paths: Sequence[Path]) -> list[Path]:
-    """Return the folders to watch: those of sources, of the targets of symbolic links, and of variables."""
+def folders_of_files(paths: Sequence[Path]) -> list[Path]:
+    """Return the folders of sources, of the targets of symbolic links, and of variables."""
     found: dict[Path, None] = {}
     for path in paths:
         base = path if path.is_dir() else path.parent
         found.setdefault(base)
+        for folder in _source_folders(path):
+            found.setdefault(folder)
         for target in (path, *(_source_paths(path))):
             try:
                 found.setdefault(target.resolve(strict=True).parent)
@@ -100,6 +102,18 @@
             yield inner
 
 
+def _source_folders(path: Path) -> Iterator[Path]:
+    """Yield the folders of sources in a folder, at any depth."""
+    try:
+        entries = [entry.name for entry in os.scandir(path) if entry.is_dir()]
+    except OSError:
+        return
+    for name in entries:
+        if not _IGNORED_NAMES.search(name) and name not in _VARIABLE_FOLDERS:
+            yield path / name
+            yield from _source_folders(path / name)
+
+
 def _variable_files(folder: Path) -> Iterator[tuple[str, Path]]:
     """Yield the group or host and the path of each file of variables.
 
--- a/tests/inventory/test_source.py
+++ b/tests/inventory/test_source.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import time
 from collections.abc import Callable, Coroutine
@@ -462,6 +463,73 @@
             assert time.monotonic() - changed_at < EARLY_DRAIN_SECONDS
 
 
+def swap_folder(folder: Path) -> None:
+    """Put a copy in the place of the folder, with one host less."""
+    copy = folder.with_name("copy")
+    shutil.copytree(folder, copy)
+    lines = (copy / "workers.csv").read_text().splitlines(True)
+    (copy / "workers.csv").write_text("".join(lines[:-1]))
+    folder.rename(folder.with_name(f"old-{len(lines)}"))
+    copy.rename(folder)
+
+
+def swap_link(link: Path) -> None:
+    """Let a link lead to a copy of its folder, with one host less."""
+    folder = link.resolve()
+    copy = folder.with_name(f"{folder.name}x")
+    shutil.copytree(folder, copy)
+    file = next(copy.rglob("workers.csv"))
+    file.write_text("".join(file.read_text().splitlines(True)[:-1]))
+    link.with_name("next").symlink_to(copy.name)
+    link.with_name("next").replace(link)
+
+
+@pytest.mark.parametrize("names_file", [False, True])
+@pytest.mark.parametrize("is_link", [False, True])
+def test_swapped_folders_are_noticed_again_and_again(tmp_path: Path, is_link: bool, names_file: bool) -> None:
+    """With notifications only; the folder of the inventory, or a link to a folder above it, is swapped."""
+
+    async def scenario() -> None:
+        async with AsyncExitStack() as stack:
+            fleet = await start_replicas(stack, 4)
+            folder = tmp_path / "release" / "hosts"
+            folder.mkdir(parents=True)
+            (folder / "workers.csv").write_text(csv_text(*fleet))
+            (tmp_path / "current").symlink_to("release")
+            source = (tmp_path / "current" if is_link else tmp_path / "release") / "hosts"
+            options = gateway_options(
+                tmp_path, paths=[str(source / "workers.csv" if names_file else source)], poll=600.0
+            )
+            program = await stack.enter_async_context(Program(options=options))
+            await asyncio.sleep(0.3)  # Until the notifications are set up.
+            for host in ("w3", "w2"):
+                swapped_at = time.monotonic()
+                if is_link:
+                    swap_link(tmp_path / "current")
+                else:
+                    swap_folder(folder)
+                await until(decision_logged(program, "remove", host))
+                assert time.monotonic() - swapped_at < EARLY_DRAIN_SECONDS
+            (source / "workers.csv").write_text(csv_text(*fleet[:1]))
+            await until(decision_logged(program, "remove", "w1"))
+
+    asyncio.run(scenario())
+
+
+@run_in_folder
+async def test_a_file_in_a_new_folder_is_noticed(folder: Path) -> None:
+    async with RecordingReplica() as one, RecordingReplica() as two:
+        sources = folder / "sources"
+        sources.mkdir()
+        (sources / "workers.csv").write_text(csv_text(one))
+        options = gateway_options(folder, paths=[str(sources)], poll=600.0)
+        async with Program(options=options) as program:
+            (sources / "more").mkdir()
+            await asyncio.sleep(0.5)
+            (sources / "more" / "others.csv").write_text(f"name,host,port\nw8,127.0.0.1,{two.port}\n")
+            await until(decision_logged(program, "add", "w8"))
+
+
 @run_in_folder
 async def test_killed_parser_process_is_restarted(folder: Path) -> None:
     path = folder / "workers.csv"
