A stop answers the requests that the batch front has read

Cause: the front closed all its connections once no line was in flight.

Change: the front answers what it has read; what is not done 0.5 s before the earliest kill ends with 503 "stopping" and stores nothing (batch/requests_in_progress.py), unless its record is being written. A batch that is created meanwhile is left to the next process, as its store is about to be closed.

--- a/lockspoke/batch/application.py
+++ b/lockspoke/batch/application.py
@@ -13,6 +13,7 @@
 from .journal import StoreError
 from .limits import FrontLimits
 from .messages import ApiRequest, JsonResponse, Response
+from .requests_in_progress import RequestsInProgress
 from .routing import Route, Router
 from .runner import BatchRunner
 from .store import BatchStore
@@ -36,6 +37,7 @@
         self.limits = limits
         self.token = token
         self.draining = False  # Whether connections close after their current response.
+        self.requests = RequestsInProgress(store.is_writing)
         files = FileHandlers(store, limits)
         uploads = UploadHandlers(store, limits)
         batches = BatchHandlers(store, runner)
--- a/lockspoke/batch/connection.py
+++ b/lockspoke/batch/connection.py
@@ -19,9 +19,11 @@
 from .errors import ApiError
 from .json_text import SPACED, encode_json
 from .messages import ApiRequest, FileResponse, JsonResponse, RequestBody, Response
+from .requests_in_progress import StoppingError
 
 FORM_OVERHEAD = 256 * 1024  # bytes that a form may have in addition to the content of its file
 LINGER_TIMEOUT = 2.0  # seconds
+LINGER_TIMEOUT_AFTER_REQUEST = 0.3  # seconds, while the gateway stops, if the request was read to its end
 SEND_SIZE = 64 * 1024  # bytes of a file that are read and sent at a time
 SHORT_BODY = 64 * 1024  # the largest body in bytes that is read to its end when the response is an error
 
@@ -34,6 +36,12 @@
     return not may_not_arrive and int(head.headers.get("content-length", "0")) <= SHORT_BODY
 
 
+def _mark_retrieved(reading: asyncio.Task[bytes]) -> None:
+    """Let a read that nobody waits for any more fail without a log line."""
+    if not reading.cancelled():
+        reading.exception()
+
+
 class BatchConnection:
     """Answers the requests of one client, one after another."""
 
@@ -47,13 +55,15 @@
         self.has_received = True
         self.close_reason: CloseReason | None = None
         self._between_requests = True
+        self._reading: asyncio.Task[bytes] | None = None  # It goes on when the handler is cancelled.
         self._parser = RequestParser(application.limits.body_size + FORM_OVERHEAD)
         self._pieces: list[MessagePart] = []
 
     @property
     def idle(self) -> bool:
         """Whether the connection is between two requests."""
-        return self._between_requests and not self.reader.has_unread
+        has_read = self._reading is not None and self._reading.done()
+        return self._between_requests and not self.reader.has_unread and not has_read
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -68,40 +78,52 @@
                 if not isinstance(head, RequestHead):
                     continue
                 self._between_requests = False
-                if not await self._serve(head):
-                    await self._linger()
+                body = RequestBody(self._next_piece)
+                if not await self._serve(head, body):
+                    stops_soon = self.application.draining and body.complete
+                    await self._linger(LINGER_TIMEOUT_AFTER_REQUEST if stops_soon else LINGER_TIMEOUT)
                     return
                 self._between_requests = True
 
-    async def _linger(self) -> None:
+    async def _linger(self, timeout: float = LINGER_TIMEOUT) -> None:  # noqa: ASYNC109 - a span, not a deadline
         """Discard input for a while: closing with unread bytes resets the connection and loses a response."""
         self.stream.socket.shutdown(socket.SHUT_WR)
         with suppress(TimeoutError):
-            async with asyncio.timeout(LINGER_TIMEOUT):
+            async with asyncio.timeout(timeout):
                 while True:
-                    await self.reader.read()
+                    await self._read()
 
     async def _next_piece(self) -> MessagePart:
         while not self._pieces:
-            data = await self.reader.read()
+            data = await self._read()
             self._mark_active()
             self._pieces = self._parser.feed(data)
         return self._pieces.pop(0)
 
+    async def _read(self) -> bytes:
+        """Read the next bytes; a read whose caller is cancelled is continued by the next call."""
+        if self._reading is None:
+            self._reading = asyncio.ensure_future(self.reader.read())
+            self._reading.add_done_callback(_mark_retrieved)
+        reading = self._reading
+        await asyncio.wait([reading])
+        self._reading = None
+        return reading.result()
+
     def _mark_active(self) -> None:
         self.active_at = asyncio.get_running_loop().time()
 
-    async def _serve(self, head: RequestHead) -> bool:
+    async def _serve(self, head: RequestHead, body: RequestBody) -> bool:
         """Answer one request; returns whether the connection stays open."""
-        body = RequestBody(self._next_piece)
-        keep_alive = head.keep_alive and not self.application.draining
+        keep_alive = head.keep_alive
         try:
-            response = await self._handle(head, body)
+            response = await self.application.requests.run(self._handle(head, body))
         except ApiError as error:
             # Unread bytes of the body would be parsed as the next request.
-            if not body.complete and _has_short_body(head):
+            may_wait = not isinstance(error, StoppingError)
+            if may_wait and not body.complete and _has_short_body(head):
                 await body.discard()
-            keep_alive = keep_alive and body.complete
+            keep_alive = keep_alive and body.complete and not self.application.draining
             await self._send_error(error, keep_alive, head.method)
         except HttpError as error:
             keep_alive = False
@@ -113,6 +135,7 @@
             keep_alive = False
             await self._send_error(ApiError(500, "The server failed to answer your request."), keep_alive)
         else:
+            keep_alive = keep_alive and not self.application.draining
             await self._send(response, keep_alive, head.method)
         return keep_alive
 
--- a/lockspoke/batch/contents.py
+++ b/lockspoke/batch/contents.py
@@ -9,6 +9,7 @@
 import hashlib
 import os
 import secrets
+import threading
 from collections.abc import Collection, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
@@ -34,6 +35,7 @@
 
     def __init__(self, folder: Path, executor: ThreadPoolExecutor) -> None:
         self.executor = executor
+        self._stopping = threading.Event()
         self.files_folder = folder / "files"
         self.parts_folder = folder / "parts"
         self.scratch_folder = folder / "new"
@@ -52,6 +54,10 @@
             with suppress(OSError):
                 path.unlink()
 
+    def stop_joining(self) -> None:
+        """Let each join of parts fail, now and later."""
+        self._stopping.set()
+
     def open_scratch(self) -> tuple[Path, BinaryIO]:
         """A new scratch file and its path."""
         path = self.scratch_folder / secrets.token_hex(12)
@@ -85,6 +91,8 @@
                 for part_id in part_ids:
                     with (self.parts_folder / part_id).open("rb") as part:
                         while data := part.read(COPY_SIZE):
+                            if self._stopping.is_set():
+                                raise StoreError("the gateway is stopping")
                             md5.update(data)
                             sha256.update(data)
                             file.write(data)
--- a/lockspoke/batch/front.py
+++ b/lockspoke/batch/front.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from tornado.iostream import IOStream
 
@@ -21,6 +22,8 @@
 from .store import BatchStore
 
 IDLE_TIMEOUT = 60.0  # seconds that a connection may be idle between two requests
+DRAIN_POLL_INTERVAL = 0.02  # seconds between two looks at the connections while the gateway stops
+LAST_ANSWERS_TIME = 0.3  # seconds for sending the answers to requests that have come to no end
 STALL_TIMEOUT = 120.0  # seconds without sending or receiving a byte after which a busy connection is closed
 
 
@@ -60,7 +63,29 @@
         """Close each connection after its current response."""
         self.application.draining = True
 
-    def close(self) -> None:
-        """Stop listening and close all connections."""
-        self.listener.stop()
+    async def finish(self, is_done: Callable[[], bool], answer_by: float) -> None:
+        """Answer the requests that have been read, and close.
+
+        Args:
+            is_done: Whether nothing else requires the front to be open.
+            answer_by: A request that is not done at this time of the event loop's clock gets 503.
+        """
+        loop = asyncio.get_running_loop()
+        while loop.time() < answer_by and (self._is_serving or not is_done()):  # noqa: ASYNC110 - a deadline
+            await asyncio.sleep(DRAIN_POLL_INTERVAL)
+        self.listener.stop()  # Connections that wait in the kernel's queue may have sent a request.
+        await self._close_idle_until(answer_by)
+        self.application.requests.end()
+        await self._close_idle_until(loop.time() + LAST_ANSWERS_TIME)
         self.listener.close_all()
+
+    @property
+    def _is_serving(self) -> bool:
+        return any(not connection.idle for connection in self.listener.connections)
+
+    async def _close_idle_until(self, end: float) -> None:
+        """Close connections as they become idle, until there are none or this time."""
+        loop = asyncio.get_running_loop()
+        while self.listener.connections and loop.time() < end:
+            self.listener.close_idle(0.0)
+            await asyncio.sleep(DRAIN_POLL_INTERVAL)
--- a/lockspoke/batch/runner.py
+++ b/lockspoke/batch/runner.py
@@ -56,6 +56,7 @@
         self.now = now
         self.slots = LineSlots(core, concurrency)
         self._target_concurrency = concurrency  # The slots follow once all batches say so.
+        self._is_stopping = False
         self.tasks = BackgroundTasks()
         self.line_runner = LineRunner(store, core, lines, self.slots, max_attempts, now, boot_time)
         self.scheduler = LineScheduler(self.line_runner, self.slots, self.tasks, now)
@@ -96,7 +97,9 @@
         self.tasks.spawn(self.scheduler.run())
 
     def start_batch(self, batch: Batch) -> None:
-        """Run a batch in the background."""
+        """Run a batch in the background; after `stop`, it is left to a later process."""
+        if self._is_stopping:
+            return
         self.tasks.spawn(self._run_batch(batch))
 
     def notify(self) -> None:
@@ -105,6 +108,7 @@
 
     async def stop(self) -> None:
         """Start no more lines and wait for those in flight."""
+        self._is_stopping = True
         self.slots.stop()
         # Polled: after its last line has ended, a batch has up to one interval to finish before its task is
         # cancelled.
--- a/lockspoke/batch/service.py
+++ b/lockspoke/batch/service.py
@@ -18,16 +18,29 @@
 from .settings import BatchSettings
 from .store import BatchStore
 
+ANSWER_BEFORE_KILL = 0.5  # seconds; requests that are not done by then get 503
 EXPIRY_INTERVAL = 60.0  # seconds between two searches for expired uploads
 
 log = structlog.get_logger()
 
 
-async def stop_batches(front: BatchFront, runner: BatchRunner, store: BatchStore) -> None:
-    """Start no more lines, store the results of those in flight, and close front and store."""
+async def stop_batches(
+    front: BatchFront, runner: BatchRunner, store: BatchStore, shutdown_time: float
+) -> None:
+    """Start no more lines, store the results of those in flight, and close front and store.
+
+    Args:
+        front: Answers the requests that it has read; with 503 if they are not done in time.
+        runner: Runs the lines.
+        store: The store of both.
+        shutdown_time: Seconds after which the platform may kill the process.
+    """
+    answer_by = asyncio.get_running_loop().time() + shutdown_time - ANSWER_BEFORE_KILL
     front.start_draining()
-    await runner.stop()
-    front.close()
+    stopping = asyncio.ensure_future(runner.stop())
+    await front.finish(stopping.done, answer_by)
+    store.contents.stop_joining()
+    await stopping
     await store.wait_until_idle()  # Interactive requests continue meanwhile.
     store.close()
 
@@ -62,6 +75,7 @@
             store, core, self._lines, settings.concurrency, settings.tries, steady_unix_time
         )
         self._front = BatchFront(store, self._runner, settings.connections, settings.file_limit, token)
+        self._shutdown_time = gateway.shutdown_time
         self._expiry: asyncio.Task[None] | None = None
 
     def start(self, address: tuple[str, int]) -> None:
@@ -88,6 +102,7 @@
         self._lines.max_lines = self._store.max_lines = settings.max_lines
         self._runner.reconfigure(settings.concurrency, settings.tries)
         self._front.limits.set_file_size(settings.file_limit)
+        self._shutdown_time = gateway.shutdown_time
 
     def run_periodic_checks(self) -> None:
         """Enforce the time limits and the maximum number of connections."""
@@ -104,4 +119,4 @@
         """Start no more lines, store the results of those in flight, and close everything."""
         if self._expiry is not None:
             self._expiry.cancel()
-        await stop_batches(self._front, self._runner, self._store)
+        await stop_batches(self._front, self._runner, self._store, self._shutdown_time)
--- a/lockspoke/batch/store.py
+++ b/lockspoke/batch/store.py
@@ -56,6 +56,7 @@
         self.status_lock = asyncio.Lock()
         # Batch ID and line number of each result that is being written.
         self._ending_lines: set[tuple[str, int]] = set()
+        self._writing_tasks: set[asyncio.Task[Any] | None] = set()
         self.journal = Journal(folder / "journal.log", self.executor)
         try:
             for offset, record in self.journal.load():
@@ -79,8 +80,17 @@
         self.executor.shutdown()
         self.journal.close()
 
+    def is_writing(self, task: asyncio.Task[Any]) -> bool:
+        """Whether a task's record is being written, so that it may be on the disk already."""
+        return task in self._writing_tasks
+
     async def _write(self, record: Record) -> None:
-        self._tables.apply(await self.journal.append(record), record)
+        task = asyncio.current_task()
+        self._writing_tasks.add(task)
+        try:
+            self._tables.apply(await self.journal.append(record), record)
+        finally:
+            self._writing_tasks.discard(task)
 
     # Files
 
