--- a/tests/inventory/test_source.py
+++ b/tests/inventory/test_source.py
@@ -379,6 +379,57 @@
             assert await program.terminate() == 0
 
 
+SETTINGS_AND_FATES = [  # A changed setting, the decision about the known host w0, and about a new host w8.
+    ({"zones": ["z9"]}, "hold", "keep_out"),
+    ({"kinds.gen-b": 1.0}, "hold", "keep_out"),
+    ({"require": ["cell"]}, "hold", "keep_out"),
+    ({"names.host": "label.host"}, "hold", "keep_out"),
+    ({"form": "json"}, "", ""),
+    ({"paths": ["/nowhere/workers.csv"]}, "", ""),
+    ({"select": "w9"}, "guard", ""),
+    ({"merge": "later", "port": 1, "lookups": True, "implied_groups": False}, "", "add"),
+    ({"watch": "poll", "poll": 0.05, "quiet": 0.0, "missing": 0.0, "inline_kb": 0}, "", "add"),
+]
+
+
+@pytest.mark.parametrize(("changes", "known_host", "new_host"), SETTINGS_AND_FATES)
+def test_known_hosts_serve_on_after_a_reload_with_other_settings(
+    tmp_path: Path, changes: dict[str, Any], known_host: str, new_host: str
+) -> None:
+    """The rows of docs/settings.md: no change of `[inventory]` takes a known host out without the guard."""
+
+    async def scenario() -> None:
+        async with AsyncExitStack() as stack:
+            fleet = await start_replicas(stack, 4)
+            new = await stack.enter_async_context(RecordingReplica())
+            text = "name,host,port,zone,kind,status\n"
+            text += "".join(
+                f"w{at},127.0.0.1,{replica.port},z1,gen-a,up\n" for at, replica in enumerate(fleet)
+            )
+            replace_file(tmp_path / "workers.csv", text)
+            values: dict[str, Any] = {"zones": ["z1"], "kinds.gen-a": 1.0, "guard.removed_least": 1}
+            options = gateway_options(tmp_path, **values)
+            program = await stack.enter_async_context(Program(options=options))
+            if "kinds.gen-b" in changes:
+                del values["kinds.gen-a"]
+            gateway_options(tmp_path, **values | changes)
+            program.process.send_signal(signal.SIGHUP)
+            await until(lambda: program.log("reloaded") is not None)
+            if known_host:
+                await until(decision_logged(program, known_host, "" if known_host == "guard" else "w0"))
+            replace_file(tmp_path / "workers.csv", text + f"w8,127.0.0.1,{new.port},z1,gen-a,up\n")
+            if new_host:
+                await until(decision_logged(program, new_host, "w8"))
+            client = await stack.enter_async_context(Client(program.port))
+            number = 0
+            while not all(replica.seen for replica in fleet):
+                number += 1
+                assert (await client.request(request_bytes(number)))[0] == 200
+            assert not [one for one in program.logs if one.get("action") in ("remove", "drain")]
+
+    asyncio.run(scenario())
+
+
 @run_in_folder
 async def test_replaced_symbolic_links_are_noticed(folder: Path) -> None:
     """Symbolic links are swapped as by configuration tools, with notifications and with polling."""
