A folder that is replaced just before a watch begins is watched

Cause: folders were listed, then the notifications set up. One that came or was swapped in between was watched as it had been, until the next poll.

Change: 0.1 s after a watch has begun the folders are listed again.

--- a/lockspoke/inventory/file_watcher.py
+++ b/lockspoke/inventory/file_watcher.py
@@ -24,6 +24,7 @@
 NOTIFICATION_STEP_MS = 5  # Changes within this time of each other give one notification.
 FIRST_RETRY_SECONDS = 0.1  # After this time failed notifications are set up again: a folder may be back.
 NEXT_RETRY_SECONDS = 5.0  # The time between further attempts.
+FIRST_FOLDER_CHECK_SECONDS = 0.1  # After a watch has begun: a folder may have been replaced just before.
 MIN_FOLDER_CHECK_SECONDS = (
     1.0  # At least this time is between two looks at the folders without a notification.
 )
@@ -45,7 +46,8 @@
         self.changed = asyncio.Event()
         self.signature = FileSignature()
         self._executor = executor
-        self._stop = threading.Event()  # Ends the notification thread.
+        self._is_stopped = False
+        self._end_of_watch = threading.Event()  # Ends the notification thread of the present watch.
         self._task: asyncio.Task[None] | None = None
         self._failure_logged = False
 
@@ -62,12 +64,13 @@
     def start(self) -> None:
         """Start watching on the running event loop."""
         self._failure_logged = False
-        self._stop = threading.Event()
+        self._is_stopped = False
         self._task = asyncio.ensure_future(self._run())
 
     def stop(self) -> None:
         """Stop watching; `start` may be called again."""
-        self._stop.set()
+        self._is_stopped = True
+        self._end_of_watch.set()
         if self._task is not None:
             self._task.cancel()
             self._task = None
@@ -118,7 +121,7 @@
         while self.settings.watch == "notice":
             try:
                 await self._watch_folders()
-                if self._stop.is_set():
+                if self._is_stopped:
                     return
             except (OSError, RuntimeError) as error:
                 if not self._failure_logged:
@@ -135,16 +138,32 @@
         if not folders.by_path:
             raise OSError("none of the folders exists")
 
+        self._end_of_watch = end = threading.Event()
+        check = asyncio.ensure_future(self._end_if_replaced(folders, end))
+        self.changed.set()  # Files may have changed before the watch began.
+        try:
+            await self._report_changes(folders, end)
+        finally:
+            check.cancel()
+
+    async def _end_if_replaced(self, folders: WatchedFolders, end: threading.Event) -> None:
+        """End a watch if others are to be watched already: they may have come before it began."""
+        await asyncio.sleep(FIRST_FOLDER_CHECK_SECONDS)
+        if await self._find_folders() != folders:
+            end.set()
+
+    async def _report_changes(self, folders: WatchedFolders, end: threading.Event) -> None:
+        """Set `changed` with each notification, until other folders have to be watched or the watch ends."""
+
         def concerns(_change: Change, path: str) -> bool:
             return folders.concerns(path)
 
-        self.changed.set()  # Files may have changed before the watch began.
         async for changes in awatch(
             *folders.by_path,
             watch_filter=concerns,
             debounce=NOTIFICATION_STEP_MS,
             step=NOTIFICATION_STEP_MS,
-            stop_event=self._stop,
+            stop_event=end,
             rust_timeout=round(max(self.settings.poll, MIN_FOLDER_CHECK_SECONDS) * 1000),
             yield_on_timeout=True,
             recursive=False,
