A reload takes nothing of a file that lacks a class's name or deadline, limits or discovery

Cause: these keys have defaults for the start, and a reload put the defaults in the place of what was in force.

Change: a reload refuses such a file with one line that names the key.

--- a/lockspoke/lifecycle/config_file.py
+++ b/lockspoke/lifecycle/config_file.py
@@ -21,12 +21,18 @@
 DEFAULT_CONNECT_TIMEOUT = 100 * MILLISECOND
 DEFAULT_KEEPALIVE = 10_000 * MILLISECOND
 
+# The keys without which a reload takes nothing, beside those that the balancer's settings require.
+REQUIRED_PATHS = ("limits", "settings.discovery")
+CLASS_KEYS = ("name", "deadline")
+
 Json = Any  # any JSON value
 
 
 def read_config(environment: Mapping[str, str], current: GatewayConfig | None = None) -> GatewayConfig:
     """Read the file that NODE_CONFIG names; other environment variables take precedence over its keys.
 
+    On a reload the file has to be complete: an incomplete one may still be being written.
+
     Args:
         environment: The environment variables of the process.
         current: On a reload, the current configuration. If the discovery address in the file has changed, it
@@ -34,7 +40,7 @@
             updated.
 
     Raises:
-        ConfigError: The file can't be read, or a value is invalid.
+        ConfigError: The file can't be read, a value is invalid, or a key is missing.
     """
     path = environment.get("NODE_CONFIG")
     if not path:
@@ -46,10 +52,31 @@
     if not isinstance(raw, dict):
         raise ConfigError(f"{path}: want an object")
     try:
-        return _gateway_config(raw, environment, current)
+        config = _gateway_config(raw, environment, current)
+        if current is not None:
+            _check_complete(raw)
     except (ValueError, TypeError, AttributeError, OverflowError) as error:
         # Values of an unexpected type can raise any of these, and a reload must never end the program.
         raise ConfigError(f"{path}: {error}") from None
+    return config
+
+
+def _check_complete(raw: dict[str, Json]) -> None:
+    """Check that no key is missing for which a default would take the place of what is in force.
+
+    Raises:
+        ConfigError: A key is missing; the message names it.
+    """
+    profiles = _value_at(raw, "settings.profiles", [])
+    class_keys = [(profile, index, key) for index, profile in enumerate(profiles) for key in CLASS_KEYS]
+    missing = [path for path in REQUIRED_PATHS if _value_at(raw, path, None) is None]
+    missing += [
+        f"settings.profiles[{index}].{key}"
+        for profile, index, key in class_keys
+        if _value_at(profile, key, None) is None
+    ]
+    if missing:
+        raise ConfigError(f"{missing[0]} is missing")
 
 
 def _gateway_config(
--- a/tests/lifecycle/test_reload.py
+++ b/tests/lifecycle/test_reload.py
@@ -7,10 +7,24 @@
 import os
 import signal
 import tempfile
+from copy import deepcopy
 from pathlib import Path
 from typing import Any
 
-from tests.standins import WAIT_TIMEOUT, Client, FakeDiscovery, FakeReplica, Program, request_bytes, until
+import pytest
+
+from lockspoke.lifecycle.config import ConfigError
+from lockspoke.lifecycle.config_file import read_config
+from tests.standins import (
+    SETTINGS,
+    WAIT_TIMEOUT,
+    Client,
+    FakeDiscovery,
+    FakeReplica,
+    Program,
+    request_bytes,
+    until,
+)
 
 from .support import run
 
@@ -49,6 +63,42 @@
             assert await program.terminate() == 0
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        ("limits",),
+        ("settings", "discovery"),
+        ("settings", "profiles", 1, "name"),
+        ("settings", "profiles", 0, "deadline"),
+        ("settings", "limits", "attemptsCap"),
+    ],
+)
+def test_a_reload_of_a_file_that_lacks_a_key_takes_nothing(
+    tmp_path: Path, path: tuple[str | int, ...]
+) -> None:
+    """The key that is missing would have had its default in place of what was in force."""
+    document: Any = {
+        "name": "n1",
+        "listen": "127.0.0.1:0",
+        "limits": {"memory_mb": 64, "sockets": 300},
+        "settings": deepcopy(SETTINGS),
+    }
+    file = tmp_path / "config.json"
+    environment = {"NODE_CONFIG": str(file)}
+    file.write_text(json.dumps(document))
+    current = read_config(environment)
+    assert read_config(environment, current) == current
+    holder = document
+    for key in path[:-1]:
+        holder = holder[key]
+    del holder[path[-1]]
+    file.write_text(json.dumps(document))
+    with pytest.raises(ConfigError) as raised:
+        read_config(environment, current)
+    message = str(raised.value)
+    assert str(path[-1]) in message and "missing" in message and "\n" not in message
+
+
 BLOCKING_CTYPES = """
 import os, sys
 open(os.environ["GATE"]).close()  # blocks until the test has sent the signal
