The file that processes of a gateway share is read and written in one module

Change: OperatorStateFile (lifecycle/operator_state_file.py) reads and replaces the file; the storage keeps the state and the group. No change of behaviour.

--- a/lockspoke/lifecycle/operator_state_file.py
+++ b/lockspoke/lifecycle/operator_state_file.py
@@ -22,6 +22,68 @@
 
 log = structlog.get_logger()
 
+# Tells whether a file has been replaced: its inode, size, and time of the last change in nanoseconds.
+_Signature = tuple[int, int, int]
+
+
+class OperatorStateFile:
+    """A gateway's file, which other processes of the gateway may replace.
+
+    Attributes:
+        path: The file.
+        read_failed: Whether the last read of `read_if_replaced` did.
+    """
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.read_failed = False
+        self._signature: _Signature | None = None  # Of the file that was last read.
+
+    def write(self, state: OperatorState) -> bool:
+        """Replace the file with one that has this state; logs a failure. Returns whether it was written."""
+        self._signature = None  # Reading the file again changes nothing.
+        return write_state(self.path, state)
+
+    def load(self) -> OperatorState | None:
+        """Return the state, even if it has been read already; None if there is no file or it is invalid.
+
+        Raises:
+            OSError: The file cannot be read.
+        """
+        self._signature = None
+        return self._load_if_replaced()
+
+    def read_if_replaced(self) -> OperatorState | None:
+        """Return the state if the file has been replaced since it was last read; None otherwise.
+
+        None as well if the file cannot be read, which is logged once; a later call reads it.
+        """
+        try:
+            state = self._load_if_replaced()
+        except OSError as error:
+            if not self.read_failed:
+                log.error("bans_read_failed", file=str(self.path), reason=str(error))
+            self.read_failed = True
+            return None
+        self.read_failed = False
+        return state
+
+    def _load_if_replaced(self) -> OperatorState | None:
+        signature = self._read_signature()
+        if signature is None or signature == self._signature:
+            return None
+        state = load_state(self.path)
+        self._signature = signature
+        return state
+
+    def _read_signature(self) -> _Signature | None:
+        """Return the signature of the file; None if there is none."""
+        try:
+            status = os.stat(self.path)
+        except FileNotFoundError:
+            return None
+        return status.st_ino, status.st_size, status.st_mtime_ns
+
 
 def operator_state_path(environment: Mapping[str, str], gateway: str) -> Path:
     """Return the path of a gateway's file."""
--- a/lockspoke/lifecycle/operator_state_storage.py
+++ b/lockspoke/lifecycle/operator_state_storage.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import time
 from pathlib import Path
 
@@ -16,7 +15,7 @@
 from lockspoke.core.core import Core
 
 from .operator_state import BanChange, Change, OperatorState, ServiceChange
-from .operator_state_file import load_state, write_state
+from .operator_state_file import OperatorStateFile
 from .process_group import GroupLockedError, ProcessGroup
 from .service_switch import ServiceSwitch
 
@@ -29,9 +28,6 @@
 
 log = structlog.get_logger()
 
-# Tells whether a file has been replaced: its inode, size, and time of the last change in nanoseconds.
-_Signature = tuple[int, int, int]
-
 
 class UnknownReplicaError(Exception):
     """No list has named the replica."""
@@ -45,16 +41,15 @@
     """The part of one process in the state that it shares."""
 
     def __init__(self, path: Path, core: Core, service: ServiceSwitch) -> None:
-        self._path = path
+        self._file = OperatorStateFile(path)
         self._core = core
         self._service = service
         self._group = ProcessGroup(path)
         self._state = OperatorState()  # As stored, as far as this process knows.
         self._unsaved: list[Change] = []  # Changes in force here that could not be written.
         self._retry_at = 0.0  # The monotonic time at which these are written again.
-        self._signature: _Signature | None = None  # Of the file that was last read.
-        self._read_failed = False  # Whether the last read did; only the first failure is logged.
-        self._may_be_left_over = True  # Whether a process that has ended may have been out of service.
+        # Whether "out of service" may have been said of a process that has ended.
+        self._may_be_stale = True
 
     def restore(self) -> None:
         """Restore the bans of an earlier process; to be called before the first list is applied."""
@@ -68,22 +63,22 @@
         """
         self._group.follow(self._state.serial)
         self._read_changes()
-        self._forget_left_over()
+        self._end_stale_service_state()
         self._apply()
         self._group.follow(self._state.serial)
 
-    def _forget_left_over(self) -> None:
+    def _end_stale_service_state(self) -> None:
         """Forget that a process which has ended was out of service: no operator has said so of this one.
 
         Until it is known whether that process has ended, this one is out of service as well.
         """
-        if self._read_failed:
+        if self._file.read_failed:
             return
         try:
             others = self._group.followed_by_others()
         except OSError:
             return
-        self._may_be_left_over = False
+        self._may_be_stale = False
         if self._state.out_of_service and not others:
             self._end_out_of_service()
 
@@ -109,7 +104,7 @@
             NotSharedError: Another process does not know of the change. It may be made again.
         """
         if isinstance(change, ServiceChange):
-            self._may_be_left_over = False
+            self._may_be_stale = False
         await self._commit_when_unlocked(change)
         deadline = time.monotonic() + FOLLOW_TIMEOUT
         while True:
@@ -143,8 +138,7 @@
 
     def _commit(self, change: Change) -> None:
         """Make a change to the stored state; the lock of the group is held."""
-        self._signature = None  # Whatever its signature is, the file is read.
-        self._take_up_changes()
+        self._load_changes()
         self._check_known(change)
         if not self._save(change):
             self._keep_unsaved(change, "the file that they share cannot be written")
@@ -157,11 +151,10 @@
         state = self._state
         for change in (*self._unsaved, *changes):
             state = state.after(change)
-        if not write_state(self._path, state):
+        if not self._file.write(state):
             return False
         self._state = state
         self._unsaved.clear()
-        self._signature = None  # Reading the file again changes nothing.
         self._apply()
         return True
 
@@ -192,10 +185,10 @@
         self._retry_at = time.monotonic() + RETRY_INTERVAL
         try:
             with self._group.exclusively():
-                self._take_up_changes()
+                self._load_changes()
                 self._save()
         except (GroupLockedError, OSError) as error:
-            log.error("bans_write_failed", file=str(self._path), reason=repr(error))
+            log.error("bans_write_failed", file=str(self._file.path), reason=repr(error))
 
     async def follow_changes(self) -> None:
         """Apply what another process writes, until cancelled."""
@@ -207,8 +200,8 @@
         """Apply what another process has written, and tell it so."""
         if self._read_changes():
             self._apply_changes()
-        if self._may_be_left_over:
-            self._forget_left_over()
+        if self._may_be_stale:
+            self._end_stale_service_state()
         self._group.follow(self._state.serial)
 
     def _apply_changes(self) -> None:
@@ -218,44 +211,24 @@
         if after != before:
             log.info("bans_applied", given=len(after - before), ended=len(before - after))
 
-    def _take_up_changes(self) -> None:
-        """Apply what another process has written, before a change is made to it.
-
-        Raises:
-            OSError: The file cannot be read, so what is in it would be lost by writing it.
-        """
-        if self._load_if_replaced():
-            self._apply_changes()
-
     def _read_changes(self) -> bool:
-        """Like `_load_if_replaced`, but a file that cannot be read changes nothing for now."""
-        try:
-            is_replaced = self._load_if_replaced()
-        except OSError as error:
-            if not self._read_failed:
-                log.error("bans_read_failed", file=str(self._path), reason=str(error))
-            self._read_failed = True
+        """Update the state if the file has been replaced; returns whether it was."""
+        stored = self._file.read_if_replaced()
+        if stored is None:
             return False
-        self._read_failed = False
-        return is_replaced
-
-    def _load_if_replaced(self) -> bool:
-        """Update the state if the file has been replaced since it was last read; returns whether it was.
+        self._state = self._state.updated_by(stored)
+        return True
 
-        A file that is missing or invalid changes nothing.
+    def _load_changes(self) -> None:
+        """Apply what is in the file, before a change is made to it.
 
         Raises:
-            OSError: The file cannot be read.
+            OSError: The file cannot be read, so what is in it would be lost by writing it.
         """
-        signature = _read_signature(self._path)
-        if signature is None or signature == self._signature:
-            return False
-        stored = load_state(self._path)
-        self._signature = signature
-        if stored is None:
-            return False
-        self._state = self._state.updated_by(stored)
-        return True
+        stored = self._file.load()
+        if stored is not None:
+            self._state = self._state.updated_by(stored)
+            self._apply_changes()
 
     def _apply(self) -> None:
         """Obey the state."""
@@ -270,12 +243,3 @@
             self._core.set_banned(uid, False)
         if state.out_of_service is not None:
             self._service.set_out_of_service(state.out_of_service)
-
-
-def _read_signature(path: Path) -> _Signature | None:
-    """Return the signature of a file; None if there is none."""
-    try:
-        status = os.stat(path)
-    except FileNotFoundError:
-        return None
-    return status.st_ino, status.st_size, status.st_mtime_ns
