A late transfer of the lease is not accepted once its votes have been released

Callers could have seen two holders of the service address: the successor of a planned transfer, which has the votes but not the message yet, stands itself, fails and releases the votes; another member wins with them; then the transfer arrives and the successor holds as well.

Cause: a prepared transfer was accepted for as long as its lease lasted, whatever had become of the votes.

Change: releasing or handing on votes withdraws all transfers that this member has prepared for.

--- a/bench/address.py
+++ b/bench/address.py
@@ -2,12 +2,14 @@
 
     python -m bench.address sockets [--kills 200] [--cuts 200] [--moves 100] [--json FILE]
     python -m bench.address schedules [--count 100000] [--large 20000]
+    python -m bench.address members [--count 100000]
     python -m bench.address rest [--seconds 20]
 
 `sockets`: real gateways on loopback, several clusters of three at a time; a client sends requests to the
 service address all the time. Members trace their claims with the clock that all processes share.
-`schedules`: random schedules of tests/address/simulation.py in virtual time, on all cores. `rest`: messages
-and CPU of gateways that only hold the address. The exit code is 1 after any violation.
+`schedules`: random schedules of tests/address/simulation.py in virtual time, on all cores.
+`members`: those of tests/address/membership_simulation.py, in which members change. `rest`: messages and CPU
+of gateways that only hold the address. The exit code is 1 after any violation.
 """
 
 from __future__ import annotations
@@ -27,6 +29,7 @@
 import tests.standins
 from lockspoke.address.control import send_command
 from tests.address.cluster import Cluster, overlaps
+from tests.address.membership_simulation import MembershipSimulation, random_membership_schedule
 from tests.address.simulation import Counts, InvariantError, Simulation, describe, random_schedule, shrink
 
 SCHEDULES_PER_JOB = 250  # schedules per task of the process pool
@@ -157,6 +160,39 @@
     return figures
 
 
+def _run_membership_schedules(seeds: range) -> tuple[Counts, dict[int, str]]:
+    """Run the schedules of these seeds; returns the counts, and the violations by seed."""
+    counts = Counts()
+    violations: dict[int, str] = {}
+    for seed in seeds:
+        try:
+            counts.add(MembershipSimulation(random_membership_schedule(seed)).run_schedule())
+        except InvariantError as error:
+            violations[seed] = str(error)
+    return counts, violations
+
+
+def membership_schedules(options: argparse.Namespace) -> dict[str, Any]:
+    """Run random schedules with changes of members on all cores."""
+    started_at = time.monotonic()
+    starts = range(0, options.count, SCHEDULES_PER_JOB)
+    jobs = [range(first, min(first + SCHEDULES_PER_JOB, options.count)) for first in starts]
+    counts = Counts()
+    violations: dict[int, str] = {}
+    with Pool() as pool:
+        for part, found in pool.imap_unordered(_run_membership_schedules, jobs):
+            counts.add(part)
+            violations |= found
+    return {
+        "schedules": counts.schedules + len(violations),
+        "claims_checked": counts.claims,
+        "moves": counts.moves,
+        "events": dict(sorted(counts.events.items())),
+        "violations": dict(sorted(violations.items())),
+        "seconds": round(time.monotonic() - started_at, 1),
+    }
+
+
 def _cpu_seconds(pid: int) -> float:
     """The user and system CPU time of a process."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
@@ -198,7 +234,7 @@
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
     )
-    parser.add_argument("what", choices=("sockets", "schedules", "rest"))
+    parser.add_argument("what", choices=("sockets", "schedules", "members", "rest"))
     parser.add_argument("--kills", type=int, default=200)
     parser.add_argument("--cuts", type=int, default=200)
     parser.add_argument("--moves", type=int, default=100)
@@ -214,6 +250,9 @@
     elif options.what == "schedules":
         figures = schedules(options)
         has_violations = any(figures[name]["violations"] for name in ("any_size", "five_to_seven"))
+    elif options.what == "members":
+        figures = membership_schedules(options)
+        has_violations = bool(figures["violations"])
     else:
         figures = {"at_rest": [asyncio.run(measure_idle(size, options.seconds)) for size in (3, 7)]}
         has_violations = False
--- a/lockspoke/address/election.py
+++ b/lockspoke/address/election.py
@@ -229,6 +229,11 @@
         self.role = ElectionRole.FOLLOWER
         self.candidacy_at = now + self.config.vote_timeout + self._candidacy_delay()
 
+    def _release_votes(self, now: int) -> None:
+        """Release all voters; a transfer that is still on its way relies on some of them."""
+        self.transfer_offers.withdraw()
+        super()._release_votes(now)
+
     # Planned transfers, at the holder
 
     def _begin_transfer(self, successor: str, deadline: int, now: int) -> None:
@@ -272,6 +277,7 @@
         self._send_transfer(now)
         if self.voter.voted_for == self.name:
             self.voter.voted_for = sender
+        self.transfer_offers.withdraw()
         # The votes stay valid and now count for the successor.
         self._send_all(ElectionMessage(MessageKind.RELEASE, self.term, serial, 0, sender), now)
         self.candidacy_at = now + self.config.voter_lease + self._candidacy_delay()
--- a/lockspoke/address/transfer.py
+++ b/lockspoke/address/transfer.py
@@ -90,5 +90,11 @@
         """Record that a transfer was accepted."""
         self.accepted_serials[holder] = serial
 
+    def withdraw(self) -> None:
+        """Accept no transfer for the requests so far: the votes behind it are this member's no longer."""
+        for holder, offer in self.pending.items():
+            self.accept_transfer(holder, offer.serial)  # A late or repeated request is not accepted either.
+        self.pending.clear()
+
     def _was_accepted(self, holder: str, serial: int) -> bool:
         return serial <= self.accepted_serials.get(holder, 0)
--- a/tests/address/faults.py
+++ b/tests/address/faults.py
@@ -9,7 +9,7 @@
 from lockspoke.address.election_config import ElectionConfig
 from lockspoke.address.messages import ElectionMessage, MessageKind
 from lockspoke.address.role import ElectionRole
-from lockspoke.address.transfer import TransferOffer
+from lockspoke.address.transfer import TransferOffer, TransferOffers
 from lockspoke.address.voter import Voter
 
 
@@ -107,6 +107,14 @@
         self.membership.may_grant = lambda message, now: True  # type: ignore[method-assign]
 
 
+class PreviousListAfterStart(Election):
+    """Votes by the list before its own after a start, as if it had adopted its own just then."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.membership._previous_list_until = self.membership.adopted_at + self.config.settle_time
+
+
 class TransferFromArrival(Election):
     """Counts a transferred lease from its arrival instead of the moment when the successor became ready."""
 
@@ -118,6 +126,21 @@
         super()._on_transfer_lease(sender, message, now)
 
 
+class _KeptOffers(TransferOffers):
+    """Accepts transfers for all requests."""
+
+    def withdraw(self) -> None:
+        pass
+
+
+class LateTransfer(Election):
+    """Accepts a transfer although it has released the votes behind it, or handed them on."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.transfer_offers = _KeptOffers()
+
+
 class VotersFreedByTransfer(Election):
     """Ends its vote when the lease is transferred, so that it may vote for any candidate."""
 
