A list of members has settled once a quorum has been heard for that long, not just once

Cause: a member counted another one as having its list since the first message that said so, even if it had not heard of it since. In a split a quorum could settle that had missed an election on the other side; two changes of members later its candidate took a term that had been used: the same fencing token for two holders, one after the other.

Change: a member counts for the span from the first message with the generation to the latest. The latest message also brings the terms that its sender has voted in.

tests/address/test_membership.py: its case counted a member that was heard once; it now demands the refusal there, and a second message before the change is taken. That is stricter.

--- a/lockspoke/address/membership.py
+++ b/lockspoke/address/membership.py
@@ -20,10 +20,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerGeneration:
-    """The generation of another member's list, and since when this member knows of it."""
+    """The generation of another member's list, since when this member knows of it, and the latest message."""
 
     generation: int
     known_since: int
+    heard_at: int
 
 
 class Membership:
@@ -42,8 +43,9 @@
     def observe(self, sender: str, message: ElectionMessage, now: int) -> None:
         """Record what a message shows of its sender's list."""
         known = self.peer_generations.get(sender)
-        if known is None or known.generation != message.generation:
-            self.peer_generations[sender] = PeerGeneration(message.generation, now)
+        is_same = known is not None and known.generation == message.generation
+        known_since = known.known_since if known is not None and is_same else now
+        self.peer_generations[sender] = PeerGeneration(message.generation, known_since, now)
         self.known_settled = max(self.known_settled, message.settled_generation)
         own = self.config
         if message.generation == own.generation and message.members_digest != own.members_digest:
@@ -69,19 +71,23 @@
             # The own clock may be fast and the clocks of the others slow.
             drift = own.max_clock_drift
             wait = int((own.settle_time + own.voter_lease) * (1.0 + drift) / (1.0 - drift))
-            settled = [now - since >= wait for since in self._adoption_times()]
+            settled = [span >= wait for span in self._spans_in_force(now)]
             if sum(settled) >= own.quorum:
                 self.known_settled = own.generation
         return self.known_settled
 
-    def _adoption_times(self) -> list[int]:
-        """For each member known to have the own generation or a later one, since when it is known."""
+    def _spans_in_force(self, now: int) -> list[int]:
+        """For each member known to have the own generation or a later one, for how long it is known to.
+
+        What another member does after its latest message is not known. That message also says which terms it
+        has voted in, so that the tokens of later generations are higher.
+        """
         own = self.config
-        times = [self.adopted_at]
+        spans = [now - self.adopted_at]
         for name, known in self.peer_generations.items():
             if known.generation >= own.generation and name in own.members and name != self.name:
-                times.append(known.known_since)
-        return times
+                spans.append(known.heard_at - known.known_since)
+        return spans
 
     def check_change(self, candidate: ElectionConfig, now: int) -> None:
         """Check whether another list may be adopted now.
--- a/tests/address/test_membership.py
+++ b/tests/address/test_membership.py
@@ -16,13 +16,13 @@
     bigger = replace(THREE_MEMBERS, members=("a", "b", "c", "d"), generation=2)
     wait = 2 * (THREE_MEMBERS.settle_time + THREE_MEMBERS.voter_lease)
     assert membership.settled_generation(wait) == 0
-    membership.observe(
-        "b",
-        ElectionMessage(MessageKind.PREVOTE_REQUEST, 1, members_digest=THREE_MEMBERS.members_digest),
-        wait,
-    )
+    of_other = ElectionMessage(MessageKind.PREVOTE_REQUEST, 1, members_digest=THREE_MEMBERS.members_digest)
+    membership.observe("b", of_other, wait)
     with pytest.raises(ValueError, match="has not settled"):
         membership.check_change(bigger, wait + THREE_MEMBERS.settle_time)
+    with pytest.raises(ValueError, match="has not settled"):
+        membership.check_change(bigger, 2 * wait)  # What b has done since then is not known.
+    membership.observe("b", of_other, 2 * wait)
     membership.check_change(bigger, 2 * wait)
     membership.adopt(bigger, 2 * wait)
     next_config = replace(bigger, members=("a", "b", "d"), generation=3)
--- a/tests/address/test_membership_simulation.py
+++ b/tests/address/test_membership_simulation.py
@@ -23,6 +23,8 @@
     (LateTransfer, 8057),
     (LateTransfer, 18230),
 ]
+# Seeds that led to a token that had not grown, while members counted that had not been heard for long.
+SEEDS_WITH_OLD_TOKEN = (19722, 32500, 37274, 81174, 91510)
 
 
 @pytest.mark.parametrize("part", range(PARTS))
@@ -42,3 +44,8 @@
     violation = find_second_holder(schedule, fault)
     assert violation is not None and "claims the lease" in violation
     assert find_second_holder(schedule) is None
+
+
+@pytest.mark.parametrize("seed", SEEDS_WITH_OLD_TOKEN)
+def test_tokens_grow_over_two_changes_of_members_amid_a_split(seed: int) -> None:
+    assert find_second_holder(random_membership_schedule(seed)) is None
