Log: rejected requests and attempts that were not served, with request IDs and reasons

The record of the incident could not say whether the five requests had been refused, or why they were sent on: the gateway logged only requests that ended unserved. request_rejected names the request, the status and the reason of each kind of rejection; attempt_not_served names request, replica, stage and outcome of attempts that fail or are retried. Both are limited to one line a second for each status or outcome.

--- a/lockspoke/core/attempt_lifecycle.py
+++ b/lockspoke/core/attempt_lifecycle.py
@@ -10,6 +10,7 @@
 from lockspoke.balancing.actions import SendAttempt
 from lockspoke.balancing.events import NEVER_RAN, AttemptEnded, Event, FirstToken, Outcome
 
+from .attempt_log import AttemptLog
 from .interfaces import Clock, Discovery
 from .replica_set import ReplicaSet
 from .request_lifecycle import RequestLifecycle
@@ -38,6 +39,7 @@
         self._transport = transport
         self._discovery = discovery
         self._post = post
+        self._log = AttemptLog(clock)
 
     def start(self, action: SendAttempt) -> None:
         """Start an attempt that the balancer has decided on.
@@ -197,6 +199,7 @@
         self._requests.totals.attempt_outcomes[outcome] += 1
         if not request.answered:
             self._complete_request(request, attempt, outcome)
+        self._log.ended(attempt, outcome)
         elapsed = self._clock.now() - attempt.started_at
         self._post(
             AttemptEnded(
--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -25,6 +25,7 @@
 
 from .admission import AdmissionMode
 from .forwarding import ReceivedRequest, client_request
+from .rejection_log import RejectionLog
 from .request_fields import RequestFields, decode_request_fields
 from .responses import StreamingResponse, encode_text_response, retry_after_header
 
@@ -67,6 +68,7 @@
     buffered_bytes: int  # The body bytes of requests, complete or not, on all connections.
     max_buffered_bytes: int
     gateway_responses: Counter[int]  # Responses created by the gateway, by status.
+    rejection_log: RejectionLog
     is_ready: Callable[[], bool]
 
 
@@ -242,6 +244,7 @@
             try:
                 self._answer(received)
             except HttpError as error:
+                self.front.rejection_log.rejected(error.status, str(error), received.request.head)
                 self.send_response(received.request, error.status, str(error))
 
     def _answer(self, received: ReceivedRequest) -> None:
@@ -251,6 +254,7 @@
         if allowed is None:
             raise HttpError(404, "no such path")
         if head.method != allowed:
+            self.front.rejection_log.rejected(405, "wrong method", head)
             self.send_response(request, 405, "wrong method", {"Allow": allowed})
         elif head.path == COMPLETIONS_PATH:
             self._submit_or_reject(received)
@@ -270,6 +274,7 @@
             self._submit(received, decode_request_fields(received.request.head.headers))
 
     def _reject_for_reconnect(self, request: Request, reason: str) -> None:
+        self.front.rejection_log.rejected(503, reason, request.head)
         self.send_response(request, 503, reason, retry_after_header(RECONNECT_RETRY_AFTER))
 
     def _submit(self, received: ReceivedRequest, fields: RequestFields) -> None:
@@ -303,6 +308,7 @@
         """Send an error as the last response, because the start of the next message is unknown."""
         headers = retry_after_header(OVERLOAD_RETRY_AFTER) if error.status == 503 else None
         self.front.gateway_responses[error.status] += 1
+        self.front.rejection_log.rejected(error.status, str(error), self.assembler.head)
         self.outgoing.write(encode_text_response(error.status, str(error), keep_alive=False, headers=headers))
         self.active_at = asyncio.get_running_loop().time()
         self._close_gracefully()
--- a/lockspoke/wire/clients/front.py
+++ b/lockspoke/wire/clients/front.py
@@ -14,6 +14,7 @@
 
 from .admission import AdmissionMode
 from .connection import ClientConnection
+from .rejection_log import RejectionLog
 
 IDLE_TIMEOUT_SECONDS = 30.0  # A connection may be idle between requests for this long.
 REDUCED_IDLE_TIMEOUT_SECONDS = 2.0  # This limit applies instead while many connections are open.
@@ -37,6 +38,7 @@
         self.admission_mode = AdmissionMode.ACCEPT
         self.buffered_bytes = 0  # The body bytes of requests, complete or not, on all connections.
         self.gateway_responses: Counter[int] = Counter()  # Responses created by the gateway, by status.
+        self.rejection_log = RejectionLog()
         self.open_request_ids: set[str] = set()  # The ids of requests whose response has not ended.
         self.listener: Listener[ClientConnection] = Listener(self._create_connection, max_connections)
         self.reconfigure(classes, max_connections, max_buffered_bytes, tenants)
