The ID of a request stays taken until its attempts end, not until its client leaves

Cause: the front released an ID with the connection, but attempts go on after that. It works because the ID now belongs to the request's lifecycle, which ends with its last attempt; IDs that may have run in a class that restricts repeats are remembered beyond it.

test_connection.py read the front's set of IDs; it asks the core now, and also holds that an ID whose attempt goes on is taken.

--- a/lockspoke/core/core.py
+++ b/lockspoke/core/core.py
@@ -121,6 +121,10 @@
             )
         )
 
+    def request_id_is_taken(self, request_id: str) -> bool:
+        """Return whether a request with this ID is open, or must not run again."""
+        return self.request_lifecycle.request_ids.is_taken(request_id)
+
     def restricts_repeats(self, request_class: int) -> bool:
         """Return whether a request of a class that may have run must not be submitted again at will."""
         return restricts_repeats(self.balancer.settings.classes[request_class])
--- a/lockspoke/core/request_lifecycle.py
+++ b/lockspoke/core/request_lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .request_ids import RequestIds
 from .request_log import RequestLog
 from .requests import ClientRequest
 from .totals import RequestOutcome, Totals
@@ -14,6 +15,7 @@
         self._log = log
         # Keyed by request number. An answered request is kept until its last attempt has ended.
         self.open_requests: dict[int, ClientRequest] = {}
+        self.request_ids = RequestIds()
         self.totals = Totals()
         # When the balancer last rejected an interactive request, by the core's clock; 0: never.
         self.interactive_rejected_at = 0
@@ -21,6 +23,7 @@
     def register(self, request: ClientRequest) -> None:
         """Add a submitted request."""
         self.open_requests[request.number] = request
+        self.request_ids.opened(request.request_id)
         self.totals.requests += 1
 
     def find_unanswered(self, number: int) -> ClientRequest | None:
@@ -48,6 +51,7 @@
         """Remove a request if it is answered and has no open attempt."""
         if request.finished and self.open_requests.pop(request.number, None) is not None:
             request.body = b""
+            self.request_ids.closed(request.request_id, request.must_not_run_again)
 
     def interactive_request_waiting(self) -> bool:
         """Return whether any interactive request is unanswered and has no open attempt."""
--- a/lockspoke/core/requests.py
+++ b/lockspoke/core/requests.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from lockspoke.balancing.events import NEVER_RAN, Outcome
-from lockspoke.balancing.repeat_rules import may_be_rejected
+from lockspoke.balancing.repeat_rules import may_be_rejected, restricts_repeats
 from lockspoke.balancing.settings import RequestClass
 
 from .interfaces import ResponseWriter, TimerHandle
@@ -95,6 +95,14 @@
         """Whether the request may get an overload reply, because a retry by the client is safe."""
         return may_be_rejected(self.class_settings, bool(self.possible_runs))
 
+    @property
+    def must_not_run_again(self) -> bool:
+        """Whether it may have run, and its class does not allow another run under the same ID.
+
+        The batch front decides itself when it submits a line again.
+        """
+        return not self.background and restricts_repeats(self.class_settings) and bool(self.possible_runs)
+
     @property
     def possible_runs(self) -> tuple[PossibleRun, ...]:
         """The attempts that may have run, with those that were submitted before."""
--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -65,7 +65,6 @@
     admission_mode: AdmissionMode
     classes: Mapping[str, int]  # The index of each request class by its name.
     tenants: Mapping[str, int]  # The index of each tenant by its name.
-    open_request_ids: set[str]  # The ids of requests whose response has not ended.
     buffered_bytes: int  # The body bytes of requests, complete or not, on all connections.
     max_buffered_bytes: int
     gateway_responses: Counter[int]  # Responses created by the gateway, by status.
@@ -233,8 +232,6 @@
     def _release_request(self) -> ClientRequest | None:
         """Clear and return the open request, which has been answered or whose client has disconnected."""
         released, self.open_request = self.open_request, None
-        if released is not None:
-            self.front.open_request_ids.discard(released.request_id)
         return released
 
     def _answer_pipelined(self) -> None:
@@ -287,13 +284,12 @@
         request_class = self.front.classes.get(fields.kind)
         if request_class is None:
             raise HttpError(400, "unknown Req-Kind")
-        if fields.request_id in self.front.open_request_ids:
+        if self.front.core.request_id_is_taken(fields.request_id):
             # A replica would mistake the request for a hedged copy of another client's request.
             raise HttpError(409, "Req-Id is in use")
         response = StreamingResponse(self, received.request)
         request = client_request(received, fields, response, request_class, self.front.tenants)
         self.open_request = request
-        self.front.open_request_ids.add(request.request_id)
         self.front.core.submit(request)
 
     def release_body(self) -> None:
--- a/lockspoke/wire/clients/front.py
+++ b/lockspoke/wire/clients/front.py
@@ -39,7 +39,6 @@
         self.buffered_bytes = 0  # The body bytes of requests, complete or not, on all connections.
         self.gateway_responses: Counter[int] = Counter()  # Responses created by the gateway, by status.
         self.rejection_log = RejectionLog()
-        self.open_request_ids: set[str] = set()  # The ids of requests whose response has not ended.
         self.listener: Listener[ClientConnection] = Listener(self._create_connection, max_connections)
         self.reconfigure(classes, max_connections, max_buffered_bytes, tenants)
 
--- a/tests/wire/clients/test_connection.py
+++ b/tests/wire/clients/test_connection.py
@@ -156,7 +156,8 @@
         response = await client.read_until(b"ahead\n")
         assert response.count(EVENTS[0]) == client_connection.MAX_PIPELINED_REQUESTS
         assert b"HTTP/1.1 503 " in response
-        assert client.front.buffered_bytes == 0 and not client.front.open_request_ids
+        assert client.front.buffered_bytes == 0
+        assert not client.front.core.request_id_is_taken(f"{1:016x}")
         await client.disconnect()
 
     async def garbage(client: ConnectedClient) -> None:
@@ -189,7 +190,9 @@
         assert client.socket is first
         await other.disconnect()
         await client.disconnect()
-        assert not client.front.open_request_ids
+        assert client.front.core.request_id_is_taken(f"{1:016x}")  # Its attempt goes on.
+        client.core_harness.started[1].end(Outcome.OK)
+        assert not client.front.core.request_id_is_taken(f"{1:016x}")
 
     run_with_client(test)
 
