A response that a replica is still writing slowly is not cut off

Cause: a stream was ended after 3 s without a complete event, a response given up 1 s after its first byte without one. Before the first event, silence is limited to 1 s now, not the whole.

--- a/lockspoke/core/open_request_checks.py
+++ b/lockspoke/core/open_request_checks.py
@@ -17,8 +17,9 @@
 from .transport import Transport
 
 CHECK_INTERVAL = SECOND // 4
-# A stream that receives no data for longer than this is ended: its replica is considered unreachable.
-MAX_STREAM_SILENCE = 3 * SECOND
+# A stream without a complete event for longer than this is ended: its replica is considered unreachable.
+# Its client may be left waiting for 5 s after the last event.
+MAX_STREAM_SILENCE = 4_400 * MILLISECOND
 # How long after its deadline a request may stay unanswered before the check fails it.
 OVERDUE_GRACE = 10 * MILLISECOND
 
--- a/lockspoke/wire/replicas/exchange.py
+++ b/lockspoke/wire/replicas/exchange.py
@@ -18,8 +18,8 @@
 from .connection import ReplicaConnection
 from .errors import ConnectError
 
-# The limit from a response's first byte to its first event: a replica sends both with the first token.
-FIRST_EVENT_TIMEOUT_SECONDS = 1.0
+# The longest silence between a response's first byte and its first event. The deadline applies, too.
+SILENCE_BEFORE_FIRST_EVENT_SECONDS = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,7 +29,7 @@
     outcome: Outcome
     cached_tokens: int = 0  # The number of prompt tokens that the replica found in its cache.
     load_report: str = ""  # The load report as the replica sent it; empty if it sent none.
-    # Whether the response violated HTTP or the event stream format, or its first event was late.
+    # Whether the response violated HTTP or the event stream format, or went silent before its first event.
     malformed: bool = False
 
 
@@ -58,8 +58,8 @@
         """
         await self._send_request(now)
         try:
-            async with asyncio.timeout(None) as first_event_timeout:
-                return await self._read_response(first_event_timeout)
+            async with asyncio.timeout(None) as silence_timeout:
+                return await self._read_response(silence_timeout)
         except (StreamClosedError, HttpError, EventStreamError, TimeoutError) as error:
             return self._result_of_error(error)
 
@@ -81,19 +81,19 @@
             # again here: every attempt is the balancer's decision.
             raise ConnectError from None
 
-    async def _read_response(self, first_event_timeout: asyncio.Timeout) -> ReplicaResponse:
+    async def _read_response(self, silence_timeout: asyncio.Timeout) -> ReplicaResponse:
         attempt, connection, event_stream = self._attempt, self._connection, self._event_stream
         loop = asyncio.get_running_loop()
         while True:
             received = await connection.read()
-            if first_event_timeout.when() is None and not attempt.streaming:
-                first_event_timeout.reschedule(loop.time() + FIRST_EVENT_TIMEOUT_SECONDS)
+            if not attempt.streaming:
+                silence_timeout.reschedule(loop.time() + SILENCE_BEFORE_FIRST_EVENT_SECONDS)
             body, complete = self._parse(received)
             if self._outcome is Outcome.OK:
                 # Events that arrive together are forwarded together, in a single write to the client.
                 data = event_stream.feed(body) + (event_stream.remainder() if complete else b"")
                 if data:
-                    first_event_timeout.reschedule(None)
+                    silence_timeout.reschedule(None)
                     backpressure = attempt.stream_received(data)
                     if backpressure is not None:
                         await asyncio.wait([backpressure])
