Soak: clients that send unsound requests, send IDs again or close with much unread

The concern 'unsound' adds two such clients to each gateway; the checker holds that an unsound request reaches no replica and gets an error or a close within 3 s.

--- a/bench/soak/checker.py
+++ b/bench/soak/checker.py
@@ -21,6 +21,7 @@
 MAX_LATE_STREAMS = 0.05  # share of streams that may have an event later than MAX_EVENT_DELAY
 # Seconds after SIGTERM: a request that was sent later and is unanswered at SIGKILL counts as lost.
 LATE_AFTER_SIGTERM = 0.7
+MAX_ERROR_DELAY = 3.0  # seconds until a client that breaks the protocol gets an error or a close
 ANSWER_SLACK = 0.5  # seconds after its deadline within which a rejected or failed request is answered
 
 
@@ -191,6 +192,19 @@
         )
 
 
+def _unsound_requests(observations: Observations) -> Iterator[Violation]:
+    """An unsound request reaches no replica, and gets an error or a close in time."""
+    forwarded = {attempt.request_id for attempt in observations.attempts}
+    for request in observations.unsound_requests:
+        where = f"request {request.request_id} at {request.gateway}, {request.name}"
+        if request.request_id in forwarded or b" 200 " in request.answer:
+            yield Violation("lost", f"{where}: it is not sound and was served")
+        elif request.gateway_ended:
+            continue
+        elif request.answered_after is None or request.answered_after > MAX_ERROR_DELAY + SLACK:
+            yield Violation("lost", f"{where}: neither an error nor a close within {MAX_ERROR_DELAY} s")
+
+
 def _exits(observations: Observations) -> Iterator[Violation]:
     """No gateway crashes or logs an error, and each one stops with exit code 0 after SIGTERM."""
     for crash in observations.crashes:
@@ -211,5 +225,6 @@
     _deadlines,
     _disconnected_clients,
     _late_events,
+    _unsound_requests,
     _exits,
 )
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -13,7 +13,7 @@
 
 from .schedule import GATEWAYS, Disturbance, Step
 
-CONCERNS = ("network", "clock", "holds", "crowd", "cuts", "repeats")
+CONCERNS = ("network", "clock", "holds", "crowd", "cuts", "repeats", "unsound")
 HOLD_TIME = 0.15  # seconds for which a gateway is suspended
 MAX_HOLD_INTERVAL = 3.0  # seconds between two suspensions
 WALL_STEPS = (-3600.0, -5.0, 5.0, 3600.0)  # seconds by which the wall clock is set
@@ -36,6 +36,7 @@
     sockets: int = 1024  # limit of open descriptors of each gateway
     cuts: bool = False  # whether some answers of replicas and discovery are cut at a random byte
     repeats: bool = False  # whether some responses of replicas are sent once more
+    unsound: bool = False  # whether there are clients that break the protocol
 
 
 def draw_plan(seed: int, seconds: float, concerns: Collection[str]) -> FaultPlan:
@@ -53,7 +54,9 @@
     if "crowd" in concerns:
         size = random.Random(f"{seed}:reconnecting crowd").choice(CROWD_SIZES)
         plan = replace(plan, reconnecting=size, sockets=CROWD_SOCKETS)
-    return replace(plan, cuts="cuts" in concerns, repeats="repeats" in concerns)
+    return replace(
+        plan, cuts="cuts" in concerns, repeats="repeats" in concerns, unsound="unsound" in concerns
+    )
 
 
 def _add_network_faults(rng: random.Random, settings: FaultSettings) -> FaultSettings:
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -36,6 +36,18 @@
     answered_ids: set[str] = field(default_factory=set)  # of the requests that the events of its reply answer
 
 
+@dataclass(slots=True)
+class UnsoundRequest:
+    """A request that a client is owed an error or a close for."""
+
+    request_id: str
+    gateway: str
+    name: str  # what is wrong with it
+    answer: bytes = b""  # the status line; empty if the connection ended without one
+    answered_after: float | None = None  # seconds; None: neither an error nor a close
+    gateway_ended: bool = False
+
+
 @dataclass(slots=True)
 class ObservedAttempt:
     """One attempt of a request as its replica observed it."""
@@ -77,6 +89,7 @@
 
     requests: dict[str, ObservedRequest] = field(default_factory=dict)
     attempts: list[ObservedAttempt] = field(default_factory=list)
+    unsound_requests: list[UnsoundRequest] = field(default_factory=list)
     drains: list[DrainNotified] = field(default_factory=list)
     exits: list[GatewayExit] = field(default_factory=list)
     loop_delays: list[float] = field(default_factory=list)  # seconds by which the bench's event loop was late
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -21,8 +21,10 @@
 from .observations import Observations, ReplyKind
 from .replicas import SoakReplica
 from .schedule import GATEWAYS, REPLICAS, Disturbance, Schedule, Step, draw_schedule
+from .unsound_clients import UnsoundClient
 
 CLIENTS = 8  # for each gateway
+UNSOUND_CLIENTS = 2  # for each gateway
 DELAY_SAMPLE_INTERVAL = 0.01  # seconds between two measurements of how late the bench's event loop is
 MAX_RUNS = 5  # of a seed whose runs are inconclusive
 SETTLE_TIME = 1.0  # seconds after the last step before the clients are stopped
@@ -76,6 +78,7 @@
                 await stack.enter_async_context(server)
             await asyncio.gather(*(gateway.start(self._logs) for gateway in self._gateways))
             tasks = [asyncio.ensure_future(client.run()) for client in self._clients()]
+            tasks += [asyncio.ensure_future(client.run()) for client in self._unsound_clients()]
             tasks.append(asyncio.ensure_future(self._measure_loop_delays()))
             await self._open_idle_connections()
             await self._apply_steps()
@@ -107,6 +110,19 @@
             for number in range(CLIENTS)
         ]
 
+    def _unsound_clients(self) -> list[UnsoundClient]:
+        """Return two for each gateway, or none."""
+        return [
+            UnsoundClient(
+                f"{gateway.index:02x}{number:02x}dead",
+                self._schedule.seed,
+                self._observations,
+                partial(getattr, gateway, "process"),
+            )
+            for gateway in self._gateways
+            for number in range(UNSOUND_CLIENTS if self._plan.unsound else 0)
+        ]
+
     async def _open_idle_connections(self) -> None:
         """Open connections that never send a request."""
         for gateway in self._gateways:
--- a/tests/bench/test_soak.py
+++ b/tests/bench/test_soak.py
@@ -20,7 +20,7 @@
 
 @pytest.mark.parametrize(
     ("seed", "concerns"),
-    [(1, ()), (2, ()), (3, ()), (4, CONCERNS), (5, ("crowd", "holds")), (6, ("repeats",))],
+    [(1, ()), (2, ()), (3, ()), (4, CONCERNS), (5, ("crowd", "holds")), (6, ("repeats",)), (7, ("unsound",))],
 )
 def test_short_soak_of_three_gateways_has_no_violations(seed: int, concerns: tuple[str, ...]) -> None:
     *_, observations = run_until_conclusive(seed, SECONDS, concerns)
--- a/tests/bench/test_soak_checker.py
+++ b/tests/bench/test_soak_checker.py
@@ -14,6 +14,7 @@
     ObservedAttempt,
     ObservedRequest,
     ReplyKind,
+    UnsoundRequest,
 )
 
 ID = "0000000000000001"
@@ -51,10 +52,22 @@
     seen.requests[ID].sent_after_sigterm = after_sigterm
 
 
+def add_unsound(seen: Observations, answer: bytes, after: float | None, request_id: str = "unsound") -> None:
+    seen.unsound_requests.append(UnsoundRequest(request_id, "g1.1", "empty body", answer, after))
+
+
 Mutation = Callable[[Observations], None]
 VIOLATIONS: list[tuple[str, str, Mutation]] = [
     ("drain", "chat", lambda seen: notify_drain(seen, 0.31)),
     ("lost", "chat", lambda seen: set_reply(seen, None)),
+    ("lost", "chat", lambda seen: add_unsound(seen, b"HTTP/1.1 200 OK\r\n", 0.1)),
+    (
+        "lost",
+        "chat",
+        lambda seen: add_unsound(seen, b"HTTP/1.1 400 Bad Request\r\n", 0.1, ID),
+    ),  # it was sent on
+    ("lost", "chat", lambda seen: add_unsound(seen, b"HTTP/1.1 400 Bad Request\r\n", 3.1)),
+    ("lost", "chat", lambda seen: add_unsound(seen, b"", None)),
     ("lost", "chat", lambda seen: set_reply(seen, ReplyKind.UNANSWERED)),
     ("lost", "chat", lambda seen: set_reply(seen, ReplyKind.NOT_READ)),  # a replica has received the request
     ("lost", "chat", lambda seen: set_reply(seen, ReplyKind.TRUNCATED)),
@@ -77,6 +90,8 @@
     ("chat", lambda seen: notify_drain(seen, 5.0, gateway="g2.1")),
     ("chat", lambda seen: set_reply(seen, ReplyKind.REJECTED, 13.5)),
     ("chat", reply_not_read),
+    ("chat", lambda seen: add_unsound(seen, b"HTTP/1.1 400 Bad Request\r\n", 3.0)),
+    ("chat", lambda seen: add_unsound(seen, b"", 3.0)),
     ("chat", lambda seen: set_killed_reply(seen, 0.7)),
     ("chat", lambda seen: seen.requests[ID].answered_ids.add(ID)),
     ("chat", add_second_attempt),
