A new replica without a start time takes over the address of one that has gone

Cause: with equal start times, or none, both replicas at one address stayed in use. It works because the list that named a replica there last is the newest evidence of who listens; who has been succeeded is remembered, so that a list that goes on naming it changes nothing.

Replica and its incarnation moved from replica_set.py, which had grown large, into a module of their own.

--- a/lockspoke/batch/line_runs.py
+++ b/lockspoke/batch/line_runs.py
@@ -9,7 +9,7 @@
 
 from lockspoke.boot_time import BootTime
 from lockspoke.core.core import Core
-from lockspoke.core.replica_set import ReplicaLocation
+from lockspoke.core.replica import ReplicaLocation
 from lockspoke.core.requests import Attempt, ClientRequest, PossibleRun, SendNotRecordedError, SendRecorder
 
 from .journal import StoreError
--- a/lockspoke/core/core.py
+++ b/lockspoke/core/core.py
@@ -28,7 +28,8 @@
 from .interfaces import Clock, Discovery
 from .open_request_checks import OpenRequestChecks
 from .process_start import ClockReading
-from .replica_set import Replica, ReplicaListUpdate, ReplicaSet, ReplicaSetChange
+from .replica import Replica
+from .replica_set import ReplicaListUpdate, ReplicaSet, ReplicaSetChange
 from .request_lifecycle import RequestLifecycle
 from .request_log import RequestLog
 from .requests import Attempt, ClientRequest, PossibleRun
--- a/lockspoke/core/replica_set.py
+++ b/lockspoke/core/replica_set.py
@@ -4,33 +4,17 @@
 
 from collections.abc import Container, Iterable, Sequence
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from lockspoke.balancing.events import EndpointListEntry, EndpointListKind, EndpointListUpdate, ReplicaState
 
+from .address_succession import AddressSuccession
 from .identifiers import Identifiers, machine_kind_identifier
 from .process_start import ClockReading, ProcessStartTimes
+from .replica import Incarnation, Replica, ReplicaLocation
 
 UNKNOWN_VERSION = -1  # no list of the current discovery service has been applied yet
 
 
-class Incarnation(NamedTuple):
-    """One process of a replica at one address. A restart or a change of address starts a new incarnation."""
-
-    endpoint: tuple[str, int] | None
-    boot_ms: int  # Unix time
-
-
-class ReplicaLocation(NamedTuple):
-    """Where a replica runs, as far as it matters for the deduplication of requests."""
-
-    zone: str
-    cell: int
-
-
-UNKNOWN_LOCATION = ReplicaLocation("", 0)
-
-
 @dataclass(frozen=True, slots=True)
 class EndpointListReplica:
     """A replica as an endpoint list describes it."""
@@ -66,25 +50,6 @@
     unreadable: frozenset[str] = frozenset()
 
 
-@dataclass(slots=True)
-class Replica:
-    """A replica with its current address and state."""
-
-    number: int
-    uid: str
-    endpoint: tuple[str, int] | None
-    state: ReplicaState
-    boot_ms: int
-    location: ReplicaLocation = UNKNOWN_LOCATION
-    started_at: int = 0  # when its process started, by the core's clock; 0: long ago
-    last_attempt_at: int = 0  # when the first byte of an attempt was last sent, by the core's clock; 0: never
-
-    @property
-    def incarnation(self) -> Incarnation:
-        """The replica's process and address."""
-        return Incarnation(self.endpoint, self.boot_ms)
-
-
 @dataclass(slots=True)
 class ReplicaSetChange:
     """What the caller must do after a change of the replica set."""
@@ -110,6 +75,8 @@
         self._by_endpoint: dict[tuple[str, int], set[int]] = {}  # without removed replicas
         self._removed: set[int] = set()
         self._process_start_times = ProcessStartTimes()
+        self._succession = AddressSuccession()
+        self._updates = 0  # How many updates have been applied.
         self._latest_entries: dict[int, EndpointListReplica] = {}  # the last entry of each replica, by number
         self._banned: set[str] = set()  # uids; a ban stays when the listed state changes
 
@@ -147,6 +114,7 @@
     ) -> ReplicaSetChange:
         """Apply an update at the current time. See `Core.endpoint_list_changed` for the flags."""
         self.version = update.version
+        self._updates += 1
         to_disconnect: list[Replica] = []
         entries: dict[int, EndpointListEntry] = {}
         current_endpoints: dict[tuple[str, int], None] = {}  # the addresses in the entries, as an ordered set
@@ -160,6 +128,7 @@
                     number, entry.uid, entry.endpoint, entry.state, entry.boot_ms, entry.location, started_at
                 )
                 self.replicas[number] = replica
+                replica.listed_in = self._updates
             elif self._update(replica, entry, started_at):
                 to_disconnect.append(replica)
             entries[number] = self._balancer_entry(replica, entry)
@@ -184,8 +153,11 @@
         """
         self._unindex(replica)
         stale = entry.state != ReplicaState.READY or entry.incarnation != replica.incarnation
+        before = replica.incarnation
         replica.endpoint = entry.endpoint or replica.endpoint
         replica.boot_ms = entry.boot_ms
+        if replica.incarnation != before:
+            replica.listed_in = self._updates
         if entry.endpoint is not None:  # Without it, the entry says nothing but the state.
             replica.location = entry.location
         replica.started_at = started_at
@@ -210,15 +182,14 @@
     def _find_superseded(self, endpoints: Iterable[tuple[str, int]]) -> list[Replica]:
         """Return the replicas at these addresses that are older than another replica at the same address.
 
-        The process of such a replica has ended, but discovery has not detected it yet. Requests to it would
-        reach the younger replica, which would get twice its load and also be affected by the health that
-        the balancer has recorded for the older one.
+        The younger one would get twice its load, and be affected by the health that the balancer has recorded
+        for the older one.
         """
         superseded: list[Replica] = []
         for endpoint in endpoints:
             same_endpoint = [self.replicas[number] for number in self._by_endpoint.get(endpoint, ())]
-            youngest = max((replica.started_at for replica in same_endpoint), default=0)
-            superseded += [replica for replica in same_endpoint if replica.started_at != youngest]
+            if len(same_endpoint) > 1:
+                superseded += self._succession.find_succeeded(same_endpoint)
         return superseded
 
     def prune(self, balancer_replicas: Container[int]) -> None:
@@ -228,6 +199,7 @@
             self._latest_entries.pop(number, None)
             self._process_start_times.forget(number)
             self.identifiers.forget(self.replicas.pop(number).uid)
+        self._succession.prune(self._by_endpoint)
 
     def _balancer_entry(self, replica: Replica, entry: EndpointListReplica) -> EndpointListEntry:
         banned = entry.state == ReplicaState.READY and entry.uid in self._banned
--- a/lockspoke/core/requests.py
+++ b/lockspoke/core/requests.py
@@ -12,7 +12,7 @@
 from lockspoke.balancing.settings import RequestClass
 
 from .interfaces import ResponseWriter, TimerHandle
-from .replica_set import Incarnation, Replica, ReplicaLocation
+from .replica import Incarnation, Replica, ReplicaLocation
 
 
 @dataclass(frozen=True, slots=True)
--- a/lockspoke/core/transport.py
+++ b/lockspoke/core/transport.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from .replica_set import Replica
+from .replica import Replica
 from .requests import Attempt
 
 
--- a/lockspoke/wire/replicas/connection.py
+++ b/lockspoke/wire/replicas/connection.py
@@ -7,7 +7,7 @@
 from tornado.iostream import IOStream
 
 from lockspoke.balancing.events import ReplicaState
-from lockspoke.core.replica_set import Incarnation, Replica
+from lockspoke.core.replica import Incarnation, Replica
 from lockspoke.wire.tcp.dialing import Address, dial
 from lockspoke.wire.tcp.read_ahead import ReadAhead
 
--- a/lockspoke/wire/replicas/connection_pool.py
+++ b/lockspoke/wire/replicas/connection_pool.py
@@ -7,7 +7,7 @@
 from tornado.iostream import StreamClosedError
 
 from lockspoke.balancing.events import ReplicaState
-from lockspoke.core.replica_set import Replica
+from lockspoke.core.replica import Replica
 from lockspoke.wire.tcp.dialing import Dial
 
 from .connection import ReplicaConnection
--- a/lockspoke/wire/replicas/transport.py
+++ b/lockspoke/wire/replicas/transport.py
@@ -8,7 +8,7 @@
 import structlog
 
 from lockspoke.balancing.events import Outcome
-from lockspoke.core.replica_set import Replica
+from lockspoke.core.replica import Replica
 from lockspoke.core.requests import Attempt, SendPermission
 from lockspoke.wire.replicas.load_report import decode_load_report
 from lockspoke.wire.tcp.dialing import Dial
--- a/tests/core/harness.py
+++ b/tests/core/harness.py
@@ -10,7 +10,8 @@
 from lockspoke.balancing.settings import DeduplicationScope, Idempotency, RequestClass
 from lockspoke.core.core import Core
 from lockspoke.core.identifiers import Identifiers
-from lockspoke.core.replica_set import EndpointListReplica, Replica, ReplicaListUpdate, ReplicaSet
+from lockspoke.core.replica import Replica
+from lockspoke.core.replica_set import EndpointListReplica, ReplicaListUpdate, ReplicaSet
 from lockspoke.core.requests import Attempt, ClientRequest, SendPermission
 from lockspoke.units import SECOND
 from tests.balancing.helpers import settings
--- a/tests/core/test_endpoint_list.py
+++ b/tests/core/test_endpoint_list.py
@@ -5,7 +5,8 @@
 from structlog.testing import capture_logs
 
 from lockspoke.balancing.events import ReplicaState
-from lockspoke.core.replica_set import EndpointListReplica, Replica, ReplicaListUpdate
+from lockspoke.core.replica import Replica
+from lockspoke.core.replica_set import EndpointListReplica, ReplicaListUpdate
 from lockspoke.units import MILLISECOND, SECOND
 from tests.core.harness import CoreHarness
 
--- a/tests/core/test_replica_set.py
+++ b/tests/core/test_replica_set.py
@@ -146,3 +146,34 @@
     harness.started[0].end(Outcome.RESET)
     assert zones_of_attempts(harness) == ["x"]
     assert response.written == ["failed"]
+
+
+def ready_at(uid: str, port: int) -> EndpointListReplica:
+    """Return an entry without a start time, as some discovery services list it."""
+    return EndpointListReplica(uid, ReplicaState.READY, ("127.0.0.1", port), "z")
+
+
+def ready_uids(harness: CoreHarness) -> set[str]:
+    replicas = harness.core.replica_set.replicas.values()
+    return {replica.uid for replica in replicas if replica.state == ReplicaState.READY}
+
+
+def test_a_new_replica_without_a_start_time_takes_over_the_address_of_one_that_has_gone() -> None:
+    """Regression: both were used, so that the new process got requests under the name of the old one."""
+    harness = CoreHarness()
+    harness.core.endpoint_list_changed(ReplicaListUpdate(2, False, (ready_at("successor", 5000),)))
+    assert [replica.uid for replica in harness.idle_closed] == ["w0"]
+    assert ready_uids(harness) == {"successor", "w1"}
+    listed = (ready_at("w0", 5000), ready_at("w1", 5001), ready_at("successor", 5000))
+    for version in (3, 4):  # Discovery goes on listing the old one, and the gateway has forgotten it since.
+        harness.core.endpoint_list_changed(ReplicaListUpdate(version, True, listed))
+        assert ready_uids(harness) == {"successor", "w1"}
+    harness.core.endpoint_list_changed(ReplicaListUpdate(5, False, (ready_at("w0", 5002),)))
+    assert ready_uids(harness) == {"successor", "w0", "w1"}, "it has come back at another address"
+
+
+def test_replicas_that_are_listed_at_one_address_from_the_start_are_all_used() -> None:
+    harness = CoreHarness()
+    listed = (ready_at("a", 5000), ready_at("b", 5000))
+    harness.core.endpoint_list_changed(ReplicaListUpdate(2, True, listed))
+    assert ready_uids(harness) == {"a", "b"}
--- a/tests/wire/replicas/test_keepalive.py
+++ b/tests/wire/replicas/test_keepalive.py
@@ -8,7 +8,7 @@
 from collections.abc import AsyncIterator
 
 from lockspoke.balancing.events import Outcome, ReplicaState
-from lockspoke.core.replica_set import Replica
+from lockspoke.core.replica import Replica
 from lockspoke.core.requests import Attempt, ClientRequest, SendPermission
 from lockspoke.units import MILLISECOND as MS
 from lockspoke.wire.clients.responses import StreamingResponse
--- a/tests/wire/replicas/test_moves.py
+++ b/tests/wire/replicas/test_moves.py
@@ -11,7 +11,7 @@
 from tornado.iostream import IOStream
 
 from lockspoke.balancing.events import Outcome, ReplicaState
-from lockspoke.core.replica_set import Replica
+from lockspoke.core.replica import Replica
 from lockspoke.core.requests import Attempt, ClientRequest
 from lockspoke.units import MILLISECOND as MS
 from lockspoke.wire.clients.responses import StreamingResponse
