--- a/bench/soak/unsound_clients.py
+++ b/bench/soak/unsound_clients.py
@@ -73,6 +73,9 @@
             request.answered_after = time.monotonic() - started_at
         except (ConnectionError, ValueError):
             request.answered_after = 0.0  # A reset ends the connection, too.
+        except asyncio.CancelledError:
+            self._observations.unsound_requests.remove(request)  # The run has ended: nothing is known of it.
+            raise
         except TimeoutError:
             request.gateway_ended = process.killed or process.terminated_at is not None
         finally:
