Empty lines before a request may arrive in pieces

What callers saw: a request with an empty line before it got 400 if the first byte of that line arrived alone. Cause: empty lines were removed only before the first search for the end of the head. Evidence: 2 of 4 cases fail without the change (pieces of 1 and 3 bytes) and pass with it.

--- a/lockspoke/wire/http/parser.py
+++ b/lockspoke/wire/http/parser.py
@@ -119,9 +119,9 @@
 
     def _read_head(self, parts: list[MessagePart]) -> bool:
         buffer = self._buffer
-        if not self._searched:
-            while buffer.startswith(b"\r\n"):  # The standard allows empty lines before a message.
-                del buffer[:2]
+        while buffer.startswith(b"\r\n"):  # The standard allows empty lines before a message.
+            del buffer[:2]
+            self._searched = 0
         end = buffer.find(b"\r\n\r\n", max(0, self._searched - 3))
         if end + 4 > HEAD_LIMIT_BYTES or (end < 0 and len(buffer) > HEAD_LIMIT_BYTES):
             raise HttpError(431, "head too large")
--- a/tests/wire/http/test_request_parser.py
+++ b/tests/wire/http/test_request_parser.py
@@ -59,6 +59,15 @@
     assert caught.value.status == status
 
 
+@pytest.mark.parametrize("size", [1, 2, 3, 5])
+def test_empty_lines_before_a_request_may_arrive_in_pieces(size: int) -> None:
+    """Regression: the rest of an empty line whose first byte had come alone was read as the request line."""
+    data = b"\r\n\r\n" + SIZED
+    parser = RequestParser()
+    parts = [part for start in range(0, len(data), size) for part in parser.feed(data[start : start + size])]
+    assert join_chunks(parts) == join_chunks(RequestParser().feed(SIZED))
+
+
 def test_keep_alive_depends_on_version_and_connection_field() -> None:
     def keep_alive(text: bytes) -> bool:
         head = RequestParser().feed(text)[0]
