Slow clients that hold all memory give way to the complete requests of others

Cause: the request that exceeded the limit was rejected, whoever filled it. Evidence: the new case of tests/lifecycle/test_memory_limit.py fails with 503 without the change and passes with it. It works because what has been incomplete for over 0.5 s is rejected first, with the reply that it would get.

A rejected request is freed at once now, not when its connection ends.

--- a/lockspoke/wire/clients/connection.py
+++ b/lockspoke/wire/clients/connection.py
@@ -77,6 +77,9 @@
     def read_size(self) -> int:
         """How many bytes a connection reads at a time."""
 
+    def make_room(self, now: float) -> None:
+        """Reject requests of slow clients while all requests take too much memory."""
+
 
 class ClientConnection:
     """Reads the requests of one client connection and writes their responses."""
@@ -167,11 +170,12 @@
             self.closed_by_timeout.set()
         elif not self.has_received and now - self.opened_at > FIRST_BYTE_TIMEOUT_SECONDS:
             close_if_no_input(self, CloseReason.NO_REQUEST)
-        elif self._is_receiving_request() and now - self.active_at > REQUEST_TIMEOUT_SECONDS:
+        elif self.is_receiving_request and now - self.active_at > REQUEST_TIMEOUT_SECONDS:
             self._reject_and_close(HttpError(408, "request took too long"))
 
-    def _is_receiving_request(self) -> bool:
-        """Return whether the connection waits for the rest of an incomplete request."""
+    @property
+    def is_receiving_request(self) -> bool:
+        """Whether the connection waits for the rest of an incomplete request."""
         return self.open_request is None and self.phase is ConnectionPhase.SERVING and not self.assembler.idle
 
     def _receive(self, data: bytes) -> None:
@@ -184,13 +188,21 @@
         self._update_buffered_bytes()
         if self.open_request is not None:
             return
+        if self.pipelined:
+            self.front.make_room(asyncio.get_running_loop().time())
         if self.front.buffered_bytes > self.front.max_buffered_bytes:
             # Enforces the memory limit: of many large requests at once, some are rejected, not buffered.
-            self._reject_and_close(HttpError(503, "too many bytes held"))
+            self.reject_for_memory()
         else:
             self._answer_pipelined()
             self._update_buffered_bytes()
 
+    def reject_for_memory(self) -> None:
+        """Reject the request that is being received, since all requests together take too much memory."""
+        self._reject_and_close(HttpError(503, "too many bytes held"))
+        self._set_buffered_bytes(0)
+        self.assembler = RequestAssembler()
+
     def _parse(self, data: bytes) -> None:
         try:
             arrived_at = self._earliest_arrival()
--- a/lockspoke/wire/clients/front.py
+++ b/lockspoke/wire/clients/front.py
@@ -22,6 +22,7 @@
 REDUCED_IDLE_TIMEOUT_SECONDS = 2.0  # This limit applies instead while many connections are open.
 MANY_CONNECTIONS_SHARE = 0.5  # More open connections than this share of the limit count as many.
 MAX_CONNECTIONS_FOR_LARGE_READS = 96
+SLOW_REQUEST_SECONDS = 0.5  # A request that has been incomplete for longer gives way to complete ones.
 SMALL_READ_BYTES = 4 * 1024
 
 
@@ -70,6 +71,25 @@
         self.max_buffered_bytes = max_buffered_bytes
         self.outgoing_budget.limit = max_buffered_bytes
 
+    def make_room(self, now: float) -> None:
+        """Reject requests of slow clients while all requests take too much memory, the oldest first.
+
+        Otherwise the complete requests of other clients would be rejected until the slow ones time out.
+
+        Args:
+            now: The time in seconds of the event loop's clock.
+        """
+        if self.buffered_bytes <= self.max_buffered_bytes:
+            return
+        cutoff = now - SLOW_REQUEST_SECONDS
+        slow = [
+            one for one in self.listener.connections if one.is_receiving_request and one.active_at < cutoff
+        ]
+        for connection in sorted(slow, key=lambda one: one.active_at):
+            connection.reject_for_memory()
+            if self.buffered_bytes <= self.max_buffered_bytes:
+                return
+
     def run_periodic_checks(self) -> None:
         """Close connections that have been idle, stalled or receiving one request for too long."""
         now = asyncio.get_running_loop().time()
--- a/tests/lifecycle/test_memory_limit.py
+++ b/tests/lifecycle/test_memory_limit.py
@@ -10,7 +10,8 @@
 import pytest
 
 from lockspoke.lifecycle.config import BASE_MEMORY_MB
-from tests.standins import STREAM_HEAD, FakeReplica, Program, chunk
+from lockspoke.wire.clients.front import SLOW_REQUEST_SECONDS
+from tests.standins import STREAM_HEAD, Client, FakeReplica, Program, chunk, request_bytes
 
 from .support import UP, run
 
@@ -123,6 +124,24 @@
     test()
 
 
+@run
+async def test_slow_clients_that_hold_all_memory_do_not_keep_others_from_being_served() -> None:
+    """Regression: complete requests were rejected until the incomplete ones of slow clients timed out."""
+    async with FakeReplica() as replica, Program(replica) as program:
+        program.reload(limits={"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 1024})
+        slow = [HoldingClient(program) for _ in range(CLIENTS // 4)]
+        for number, one in enumerate(slow, 1):
+            await one.connect()
+            await one.send(head(number, b"Content-Length: 250000\r\n\r\n{" + b"x" * 30_000))
+        await asyncio.sleep(SLOW_REQUEST_SECONDS + 0.1)
+        async with Client(program.port) as client:
+            for number in range(5):
+                body = b'{"a":"%s"}' % (b"x" * 20_000)
+                assert (await client.request(request_bytes(1000 + number, body=body)))[0] == 200
+        for one in slow:
+            one.socket.close()
+
+
 FLOODS = {
     "readiness checks": UP.replace(b"\r\n\r\n", b"\r\nX: " + b"p" * 4200 + b"\r\n\r\n"),
     "requests of unknown classes": head(1, b"Content-Length: 2\r\nX: " + b"p" * 4200 + b"\r\n\r\n{}").replace(
